--- /dev/null
+++ b/cmd/rattanctl/main.go
@@ -0,0 +1,10 @@
+// Command rattanctl is described in README.md.
+package main
+
+import (
+	"os"
+
+	"github.com/rattanscale/rattanscale/internal/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/rattanstandin/main.go
@@ -0,0 +1,10 @@
+// Command rattanstandin is described in README.md.
+package main
+
+import (
+	"os"
+
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+func main() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/pool/types.go
@@ -0,0 +1,120 @@
+// Package pool keeps the owner's state for one pool of upstreams: the queue of
+// waiting requests, the permits granted, the running set of each upstream and
+// the learned models. It does no I/O and reads no clock: every method takes now,
+// so that a recorded trace replays to the same decisions. A State is not safe for
+// concurrent use; its caller serialises access.
+package pool
+
+import "time"
+
+// Request asks for a permit to run one request on some upstream of the pool.
+type Request struct {
+	ID          string
+	Fingerprint uint64
+	Service     string
+	Version     string
+	Account     string
+	// Weight is the client account's share; Priority runs from 0 (lowest) to 9.
+	Weight       float64
+	MaxQueued    int
+	Priority     int
+	PromptTokens int
+	// MaxTokens is the caller's upper bound of the output, 0 when unknown.
+	MaxTokens  int
+	PrefixHash uint64
+	// Deadline is the latest useful start; zero means none.
+	Deadline time.Time
+	// FinishBy is the time by which the answer is useful; zero means none.
+	FinishBy time.Time
+	// Exclude lists upstreams that the request must not run on.
+	Exclude []string
+	// Isolated asks that the request run alone on its upstream, because it is
+	// suspected of crashing upstreams.
+	Isolated bool
+}
+
+// Permit allows its holder to run one request on one upstream until Expires.
+type Permit struct {
+	ID          uint64
+	RequestID   string
+	Upstream    string
+	Incarnation string
+	Expires     time.Time
+}
+
+// Progress reports on one running request since the previous report.
+type Progress struct {
+	PermitID uint64
+	// Tokens is the total number of output tokens so far.
+	Tokens int
+	// StepTime is the mean time between tokens since the previous report, 0 when no token came.
+	StepTime time.Duration
+	// FirstToken is the time from dispatch to the first token, once known.
+	FirstToken time.Duration
+}
+
+// Outcome tells how a request that held a permit ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Completed Outcome = iota
+	Cancelled
+	Failed
+	// UpstreamLost means that the upstream died or was unreachable while the request ran.
+	UpstreamLost
+	// Refused means that the upstream refused the request without running it.
+	Refused
+	// NeverSent means that the holder sent nothing to the upstream.
+	NeverSent
+)
+
+// Report is an upstream's own load report, which may be late.
+type Report struct {
+	Upstream     string
+	Incarnation  string
+	Cold         bool
+	Leaving      bool
+	Running      int
+	MemoryTokens int
+	// Age is how old the report was when it was received.
+	Age time.Duration
+}
+
+// Command is a decision that the caller of State must carry out: Grant, Refuse or CancelAtUpstream.
+type Command interface{ command() }
+
+// Grant gives a permit to the requester.
+type Grant struct{ Permit Permit }
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons of a refusal. Every one of them means that the request did not run.
+const (
+	ReasonQueueFull    Reason = "queue-full"
+	ReasonDeadline     Reason = "deadline-exceeded"
+	ReasonNoUpstream   Reason = "no-upstream"
+	ReasonQuarantined  Reason = "quarantined"
+	ReasonNeverFits    Reason = "never-fits"
+	ReasonNotAuthority Reason = "not-owner"
+)
+
+// Refuse tells the requester that its request gets no permit.
+type Refuse struct {
+	RequestID  string
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// CancelAtUpstream asks the caller to cancel a request whose permit expired; the
+// slot is reused only after ConfirmCancelled.
+type CancelAtUpstream struct {
+	PermitID  uint64
+	RequestID string
+	Upstream  string
+}
+
+func (Grant) command()            {}
+func (Refuse) command()           {}
+func (CancelAtUpstream) command() {}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,195 @@
+// Package settings reads and validates the daemon's YAML settings. A file is
+// validated whole: Load reports every error at once, each with its line.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/samber/lo"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+)
+
+// Settings is the content of the daemon's settings file. It is immutable once loaded.
+type Settings struct {
+	Host          Host              `yaml:"host" validate:"required"`
+	Listen        Listen            `yaml:"listen" validate:"required"`
+	Platform      Platform          `yaml:"platform" validate:"required"`
+	TLS           TLS               `yaml:"tls"`
+	Keys          Keys              `yaml:"keys" validate:"required"`
+	Limits        Limits            `yaml:"limits"`
+	Drain         Drain             `yaml:"drain"`
+	Timeline      Timeline          `yaml:"timeline"`
+	TraceFile     string            `yaml:"trace-file"`
+	UpstreamCreds map[string]string `yaml:"upstream-credentials"`
+}
+
+// Host identifies the daemon.
+type Host struct {
+	Name       string `yaml:"name" validate:"required,max=64"`
+	DataCentre string `yaml:"data-centre" validate:"required,max=64"`
+	Cell       string `yaml:"cell" validate:"max=64"`
+}
+
+// Listen holds the addresses, as IP and port, that the daemon serves.
+type Listen struct {
+	Caller   string `yaml:"caller" validate:"required,hostname_port"`
+	Operator string `yaml:"operator" validate:"required,hostname_port"`
+	Peer     string `yaml:"peer" validate:"required,hostname_port"`
+}
+
+// Platform names the platform's services. The memory table serves a single host.
+type Platform struct {
+	Table       string `yaml:"table" validate:"required,oneof=memory dynamo"`
+	TableURL    string `yaml:"table-url" validate:"required_if=Table dynamo,omitempty,url"`
+	TableName   string `yaml:"table-name"`
+	Region      string `yaml:"region"`
+	AccessKey   string `yaml:"access-key"`
+	SecretKey   string `yaml:"secret-key"`
+	ObjectsURL  string `yaml:"objects-url" validate:"omitempty,url"`
+	Bucket      string `yaml:"bucket"`
+	HostListURL string `yaml:"host-list-url" validate:"omitempty,url"`
+	// WeightStoreLoads is the number of model loads a minute that the weight store allows.
+	WeightStoreLoads float64 `yaml:"weight-store-loads-per-minute" validate:"gte=0"`
+}
+
+// TLS names certificate files. An empty Cert serves plain TCP.
+type TLS struct {
+	Cert string `yaml:"cert" validate:"required_with=Key,omitempty,file"`
+	Key  string `yaml:"key" validate:"required_with=Cert,omitempty,file"`
+	CA   string `yaml:"ca" validate:"required_with=Cert,omitempty,file"`
+}
+
+// Keys holds the secrets by which callers, operators and peers prove who they are.
+type Keys struct {
+	// Resume signs resume tokens; every daemon has the same key.
+	Resume    string            `yaml:"resume" validate:"required,min=16"`
+	Operators map[string]string `yaml:"operators" validate:"required,min=1,dive,min=16"`
+	Accounts  map[string]string `yaml:"accounts" validate:"required,min=1,dive,min=16"`
+	Peer      string            `yaml:"peer" validate:"required,min=16"`
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	BodyBytes     int64         `yaml:"body-bytes" validate:"gte=1024,lte=67108864"`
+	HeaderTimeout time.Duration `yaml:"header-timeout" validate:"gte=100ms,lte=1m"`
+	IdleTimeout   time.Duration `yaml:"idle-timeout" validate:"gte=1s,lte=1h"`
+	// TokenTimeout is the longest silence of an engine within a stream.
+	TokenTimeout time.Duration `yaml:"token-timeout" validate:"gte=100ms,lte=10m"`
+	OpenStreams  int           `yaml:"open-streams" validate:"gte=1,lte=1000000"`
+}
+
+// Drain bounds a planned stop.
+type Drain struct {
+	// Announce is how long the host still takes new work after it left the answers to callers.
+	Announce time.Duration `yaml:"announce" validate:"gte=0s,lte=1m"`
+	// Limit is how long running streams may go on before they are handed over.
+	Limit time.Duration `yaml:"limit" validate:"gte=0s,lte=1h"`
+}
+
+// Timeline bounds the events kept in memory.
+type Timeline struct {
+	Events int `yaml:"events" validate:"gte=100,lte=1000000"`
+}
+
+// Default returns the settings that a file need not state.
+func Default() Settings {
+	return Settings{
+		Host:     Host{Cell: "cell-0"},
+		Platform: Platform{TableName: "rattanscale", Region: "local", Bucket: "rattanscale", WeightStoreLoads: 6},
+		Limits: Limits{
+			BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
+			TokenTimeout: 5 * time.Second, OpenStreams: 20_000,
+		},
+		Drain:    Drain{Announce: 6 * time.Second, Limit: 30 * time.Second},
+		Timeline: Timeline{Events: 20_000},
+	}
+}
+
+// Load reads and validates the settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failure.New(failure.InvalidSettings, "%v", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse validates the content of a settings file; name appears in the errors.
+func Parse(name string, data []byte) (*Settings, error) {
+	s := Default()
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
+	if err := decoder.Decode(&s); err != nil {
+		return nil, failure.New(failure.InvalidSettings, "%s: %s", name, yaml.FormatError(err, false, false))
+	}
+	problems := check(&s)
+	if len(problems) == 0 {
+		return &s, nil
+	}
+	lines := lo.Map(problems, func(p problem, _ int) string {
+		return fmt.Sprintf("%s:%d: %s: %s", name, lineOf(data, p.path), p.path, p.message)
+	})
+	return nil, failure.New(failure.InvalidSettings, "%s", strings.Join(lines, "\n"))
+}
+
+type problem struct {
+	path    string
+	message string
+}
+
+func check(s *Settings) []problem {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(func(f reflect.StructField) string {
+		return strings.SplitN(f.Tag.Get("yaml"), ",", 2)[0]
+	})
+	var problems []problem
+	var fieldErrors validator.ValidationErrors
+	if err := validate.Struct(s); errors.As(err, &fieldErrors) {
+		for _, fe := range fieldErrors {
+			_, path, _ := strings.Cut(fe.Namespace(), ".")
+			problems = append(problems, problem{path, describe(path, fe)})
+		}
+	}
+	return problems
+}
+
+func describe(path string, fe validator.FieldError) string {
+	rule := fe.Tag()
+	if fe.Param() != "" {
+		rule += "=" + fe.Param()
+	}
+	if strings.HasPrefix(path, "keys.") || strings.Contains(path, "secret") {
+		return "the value does not satisfy " + rule // never prints a secret
+	}
+	return fmt.Sprintf("%v does not satisfy %s", fe.Value(), rule)
+}
+
+// lineOf returns the line of the nearest existing ancestor of the path, or 1.
+func lineOf(data []byte, path string) int {
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return 1
+	}
+	for path != "" {
+		if p, err := yaml.PathString("$." + path); err == nil {
+			if node, err := p.FilterFile(file); err == nil {
+				return node.GetToken().Position.Line
+			}
+		}
+		i := strings.LastIndex(path, ".")
+		if i < 0 {
+			return 1
+		}
+		path = path[:i]
+	}
+	return 1
+}
