--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -17,7 +17,7 @@
 	KindPlain       UpstreamKind = "plain"
 )
 
-// Fencing tells what an engine does with an order that carries an old fencing number.
+// Fencing tells what an engine does with an order that carries an old fencing token.
 type Fencing string
 
 // The fencing behaviours.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,8 +17,8 @@
 	ErrLost = errors.New("upstream was lost")
 	// ErrUnknownGeneration reports that the upstream does not hold the generation to resume.
 	ErrUnknownGeneration = errors.New("upstream does not hold this generation")
-	// ErrStaleOrder reports that the engine refused an order with an old fencing number.
-	ErrStaleOrder = errors.New("engine refused an old fencing number")
+	// ErrStaleOrder reports that the engine refused an order with an old fencing token.
+	ErrStaleOrder = errors.New("engine refused an old fencing token")
 )
 
 // RefusedError is the upstream's own refusal, which proves that the request did not run.
