--- /dev/null
+++ b/internal/idempotency/batch.go
@@ -0,0 +1,141 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+const (
+	// maxBatch is the number of writes that the table service takes in one transaction.
+	maxBatch = 100
+	// maxSingles bounds the concurrent writes after a batch had a conflict.
+	maxSingles = 8
+)
+
+// pendingWrite is a write that waits for the result of its batch.
+type pendingWrite struct {
+	write  platform.Write
+	result chan error
+}
+
+// batcher joins the writes of concurrent requests into transactions. Run owns
+// the loop; submit may be called from any goroutine.
+type batcher struct {
+	table   platform.Table
+	window  time.Duration
+	timeout time.Duration
+	queue   chan pendingWrite
+	stopped chan struct{}
+}
+
+func newBatcher(table platform.Table, window, timeout time.Duration) *batcher {
+	return &batcher{
+		table: table, window: window, timeout: timeout,
+		queue: make(chan pendingWrite), stopped: make(chan struct{}),
+	}
+}
+
+// submit writes w with its batch. When ctx ends after the write was queued, the
+// outcome is unknown to this caller.
+func (b *batcher) submit(ctx context.Context, w platform.Write) error {
+	p := pendingWrite{write: w, result: make(chan error, 1)}
+	select {
+	case b.queue <- p:
+	case <-b.stopped:
+		return platform.ErrUnavailable
+	case <-ctx.Done():
+		return platform.ErrUnavailable
+	}
+	select {
+	case err := <-p.result:
+		return err
+	case <-ctx.Done():
+		return platform.ErrOutcomeUnknown
+	}
+}
+
+// run collects and flushes batches until ctx ends. Batches already collected are flushed.
+func (b *batcher) run(ctx context.Context) {
+	defer close(b.stopped)
+	var flushes errgroup.Group
+	defer func() { _ = flushes.Wait() }()
+	var carried []pendingWrite
+	for {
+		batch, rest := b.collect(ctx, carried)
+		carried = rest
+		if len(batch) == 0 {
+			return
+		}
+		flushes.Go(func() error { b.flush(batch); return nil })
+	}
+}
+
+// collect returns the next batch with at most one write for each key, because a
+// transaction must not name an item twice. Later writes of the same key are returned as rest.
+func (b *batcher) collect(ctx context.Context, carried []pendingWrite) (batch, rest []pendingWrite) {
+	keys := map[platform.Key]bool{}
+	add := func(p pendingWrite) {
+		if keys[p.write.Key] {
+			rest = append(rest, p)
+			return
+		}
+		keys[p.write.Key] = true
+		batch = append(batch, p)
+	}
+	for _, p := range carried {
+		add(p)
+	}
+	if len(batch) == 0 {
+		select {
+		case p := <-b.queue:
+			add(p)
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+	window := time.NewTimer(b.window)
+	defer window.Stop()
+	for len(batch) < maxBatch {
+		select {
+		case p := <-b.queue:
+			add(p)
+		case <-window.C:
+			return batch, rest
+		case <-ctx.Done():
+			return batch, rest
+		}
+	}
+	return batch, rest
+}
+
+func (b *batcher) flush(batch []pendingWrite) {
+	writes := make([]platform.Write, len(batch))
+	for i, p := range batch {
+		writes[i] = p.write
+	}
+	err := b.commit(writes...)
+	if len(batch) == 1 || !errors.Is(err, platform.ErrConflict) {
+		for _, p := range batch {
+			p.result <- err
+		}
+		return
+	}
+	// One failed condition rejects the whole transaction, so each write is tried alone.
+	var singles errgroup.Group
+	singles.SetLimit(maxSingles)
+	for _, p := range batch {
+		singles.Go(func() error { p.result <- b.commit(p.write); return nil })
+	}
+	_ = singles.Wait()
+}
+
+func (b *batcher) commit(writes ...platform.Write) error {
+	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
+	defer cancel()
+	return b.table.Commit(ctx, writes...)
+}
--- /dev/null
+++ b/internal/relay/call.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/idempotency"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// CallResult is the answer of a plain service. Replayed is set when it comes from
+// the record of an earlier call with the same key.
+type CallResult struct {
+	Response idempotency.Response
+	Replayed bool
+}
+
+// CallPlain sends a request to a plain service. A call that must not be repeated
+// is recorded first and sent at most once.
+func (r *Relay) CallPlain(ctx context.Context, call *Call) (CallResult, error) {
+	r.Events.Record("request.accepted", call.RequestID, "service", call.Service.Name, "account", call.Account.Name)
+	if r.Budget != nil {
+		r.Budget.Attempt()
+	}
+	var result CallResult
+	var err error
+	if call.Service.Repeatable {
+		result, err = r.callRepeatable(ctx, call)
+	} else {
+		result, err = r.callOnce(ctx, call)
+	}
+	if err != nil {
+		r.Events.Record("request.failed", call.RequestID, "error", string(failure.From(err).Kind()))
+		return result, err
+	}
+	r.Events.Record("request.done", call.RequestID, "status", itoa(result.Response.Status))
+	return result, nil
+}
+
+func (r *Relay) callRepeatable(ctx context.Context, call *Call) (CallResult, error) {
+	var exclude []string
+	for attempt := 1; ; attempt++ {
+		t, err := r.acquire(ctx, call, exclude)
+		if err != nil {
+			return CallResult{}, err
+		}
+		response, err := r.send(ctx, call, t)
+		if err == nil {
+			return CallResult{Response: response}, nil
+		}
+		if attempt >= maxAttempts || ctx.Err() != nil || r.Budget != nil && !r.Budget.Retry() {
+			return CallResult{}, callFailure(t, err)
+		}
+		exclude = append(exclude, t.upstream.Name)
+		r.Events.Record("request.retried", call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
+	}
+}
+
+// callOnce claims the key and sends the call. It goes to another upstream only
+// after an error that proves that the call did not run.
+func (r *Relay) callOnce(ctx context.Context, call *Call) (CallResult, error) {
+	var exclude []string
+	for attempt := 1; ; attempt++ {
+		t, err := r.acquire(ctx, call, exclude)
+		if err != nil {
+			return CallResult{}, err
+		}
+		claim, earlier, err := r.Ledger.Claim(ctx, call.Account.Name, call.IdempotencyKey, call.fingerprint())
+		if err != nil || earlier != nil {
+			t.held.Release(pool.NeverSent, false)
+			if err != nil {
+				return CallResult{}, err
+			}
+			return CallResult{Response: *earlier, Replayed: true}, nil
+		}
+		r.Events.Record("call.claimed", call.RequestID, "key", call.IdempotencyKey)
+		response, err := r.send(ctx, call, t)
+		if err == nil {
+			r.finishClaim(ctx, call, claim, response)
+			return CallResult{Response: response}, nil
+		}
+		if !provesNotRun(err) {
+			return CallResult{}, failure.New(failure.OutcomeUnknown, "upstream %s: %v", t.upstream.Name, err)
+		}
+		if refuseErr := claim.Refuse(context.WithoutCancel(ctx)); refuseErr != nil {
+			return CallResult{}, failure.NotRun(failure.StoreUnavailable, "the call did not run, but the record could not be updated yet: %v", refuseErr)
+		}
+		if attempt >= maxAttempts || ctx.Err() != nil || r.Budget != nil && !r.Budget.Retry() {
+			return CallResult{}, callFailure(t, err)
+		}
+		exclude = append(exclude, t.upstream.Name)
+	}
+}
+
+// finishClaim records the response. The caller gets its answer even when the
+// store is out; the ledger then writes the outcome later.
+func (r *Relay) finishClaim(ctx context.Context, call *Call, claim *idempotency.Claim, response idempotency.Response) {
+	if err := claim.Finish(context.WithoutCancel(ctx), response); err != nil {
+		r.Log.Info("outcome of a call is not recorded yet", "request", call.RequestID, "error", err.Error())
+		r.Events.Record("call.outcome-delayed", call.RequestID)
+	}
+}
+
+// send sends the call with the permit of t and releases it.
+func (r *Relay) send(ctx context.Context, call *Call, t target) (idempotency.Response, error) {
+	if err := t.held.MaySend(); err != nil {
+		t.held.Release(pool.NeverSent, false)
+		return idempotency.Response{}, err
+	}
+	r.Events.Record("request.sent", call.RequestID, "upstream", t.upstream.Name)
+	// A call that was sent is not cancelled when its caller leaves, because that would make its outcome unknown.
+	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Service.Deadline)
+	defer cancel()
+	startedAt := time.Now()
+	response, err := r.Plain.Call(sendCtx, t.upstream.Address, upstream.PlainRequest{
+		RequestID: call.RequestID, IdempotencyKey: call.IdempotencyKey, Body: call.Body, ContentType: call.ContentType,
+	})
+	outcome := pool.Completed
+	if err != nil {
+		outcome = sendOutcome(err)
+	}
+	t.held.Release(outcome, false)
+	if r.Evidence != nil {
+		r.Evidence.Observe(Observation{
+			Service: call.Service.Name, Account: call.Account.Name, Version: t.version.Name,
+			Success: err == nil && response.Status < 500, FirstToken: time.Since(startedAt),
+		})
+	}
+	if err != nil {
+		return idempotency.Response{}, err
+	}
+	return idempotency.Response{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: response.Body}, nil
+}
+
+// provesNotRun reports whether the error proves that the upstream did not run the call.
+func provesNotRun(err error) bool {
+	var refused *upstream.RefusedError
+	var typed *failure.Error
+	return errors.Is(err, upstream.ErrNotSent) || errors.As(err, &refused) || errors.As(err, &typed) && typed.NotRun()
+}
+
+func callFailure(t target, err error) error {
+	var typed *failure.Error
+	var lost lostError
+	if errors.As(err, &typed) {
+		return err
+	}
+	if err = sendFailure(t, err); errors.As(err, &lost) {
+		return failure.New(failure.UpstreamFailed, "%v", err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,219 @@
+// Package relay runs the requests of callers: it picks a version and a pool,
+// acquires a permit, sends the request to the upstream and delivers the answer.
+// It decides what happens when an upstream is lost in the middle.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/idempotency"
+	"github.com/rattanscale/rattanscale/internal/permit"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/stream"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+const (
+	// bytesPerToken estimates the length of a prompt in tokens.
+	bytesPerToken = 4
+	// maxAttempts bounds the upstreams that one request is sent to.
+	maxAttempts = 4
+	// resumeGrace is how long a generation goes on after its caller's connection
+	// ended, so that a caller with a cut link can resume it.
+	resumeGrace = 2 * time.Second
+)
+
+// Pools is the daemon's knowledge of the pools' state. It may be out of date; the
+// owner of a pool has the last word. Implementations are safe for concurrent use.
+type Pools interface {
+	Status(poolName string) (permit.Status, bool)
+}
+
+// Events records the time line. Implementations are safe for concurrent use.
+type Events interface {
+	Record(kind, request string, attributes ...string)
+}
+
+// Evidence receives the result of each request for rollouts. Implementations are
+// safe for concurrent use.
+type Evidence interface {
+	Observe(o Observation)
+}
+
+// Observation is the result of one request on one version.
+type Observation struct {
+	Service    string
+	Account    string
+	Version    string
+	Success    bool
+	FirstToken time.Duration
+	Step       time.Duration
+}
+
+// Budget limits retries. Implementations are safe for concurrent use.
+type Budget interface {
+	// Attempt counts a first attempt.
+	Attempt()
+	// Retry reports whether one more attempt is allowed now.
+	Retry() bool
+}
+
+// Relay runs requests. Its fields are set once before use; its methods are safe
+// for concurrent use.
+type Relay struct {
+	Engine     upstream.Engine
+	Plain      upstream.Plain
+	Permits    *permit.Client
+	Ledger     *idempotency.Ledger
+	Config     func() *entity.Configuration
+	Pools      Pools
+	Signer     *stream.Signer
+	Events     Events
+	Evidence   Evidence
+	Budget     Budget
+	Log        logr.Logger
+	DataCentre string
+	// OtherHosts lists caller addresses of other hosts, best first.
+	OtherHosts func() []string
+	// Handover is closed when running streams must move to another host.
+	Handover <-chan struct{}
+	// MaxWholeBytes bounds an answer that is held until it is complete.
+	MaxWholeBytes int
+}
+
+// Call is one request of a caller.
+type Call struct {
+	RequestID      string
+	Account        entity.ClientAccount
+	Service        entity.Service
+	Body           []byte
+	ContentType    string
+	Prompt         string
+	MaxTokens      int
+	FinishBy       time.Time
+	AcceptRestart  bool
+	IdempotencyKey string
+}
+
+// fingerprint identifies the content of a request, so that repetitions by the caller are recognised.
+func (c *Call) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(c.Account.Name), {0}, []byte(c.Service.Name), {0}, c.Body} {
+		_, _ = d.Write(part)
+	}
+	return d.Sum64()
+}
+
+// target is one upstream that a request holds a permit for.
+type target struct {
+	held     *permit.Held
+	pool     entity.Pool
+	version  entity.Version
+	upstream entity.Upstream
+}
+
+// acquire gets a permit in one of the pools of the version that the request is routed to.
+func (r *Relay) acquire(ctx context.Context, call *Call, exclude []string) (target, error) {
+	conf := r.Config()
+	if err := r.checkDependencies(conf, call.Service); err != nil {
+		return target{}, err
+	}
+	version, err := pickVersion(conf, call.Service, call.fingerprint())
+	if err != nil {
+		return target{}, err
+	}
+	var last error
+	for _, p := range r.rankPools(conf, version) {
+		t, err := r.acquireFrom(ctx, call, version, p, exclude)
+		if err == nil {
+			return t, nil
+		}
+		last = err
+		if !failure.Is(err, failure.QueueFull) && !failure.Is(err, failure.NoUpstream) && !failure.Is(err, failure.DeadlineExceeded) || ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil {
+		last = failure.NotRun(failure.NoUpstream, "no data centre with pools of version %s of %s is in service", version.Name, call.Service.Name)
+	}
+	return target{}, last
+}
+
+func (r *Relay) acquireFrom(ctx context.Context, call *Call, version entity.Version, p entity.Pool, exclude []string) (target, error) {
+	deadline := time.Now().Add(call.Service.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	held, err := r.Permits.Acquire(ctx, p.Name, pool.Request{
+		ID: call.RequestID, Fingerprint: call.fingerprint(), Service: call.Service.Name, Version: version.Name,
+		Account: call.Account.Name, Weight: call.Account.Share, MaxQueued: call.Account.MaxQueued,
+		Priority: call.Service.Priority, PromptTokens: promptTokens(call), MaxTokens: call.MaxTokens,
+		PrefixHash: prefixHash(call.Prompt), Deadline: deadline, FinishBy: call.FinishBy, Exclude: exclude,
+	})
+	if err != nil {
+		return target{}, err
+	}
+	for _, u := range p.Upstreams {
+		if u.Name == held.Permit().Upstream {
+			r.Events.Record("permit.granted", call.RequestID, "pool", p.Name, "upstream", u.Name, "version", version.Name)
+			return target{held: held, pool: p, version: version, upstream: u}, nil
+		}
+	}
+	held.Release(pool.NeverSent, false)
+	return target{}, failure.NotRun(failure.NoUpstream, "upstream %s left the configuration", held.Permit().Upstream)
+}
+
+func promptTokens(call *Call) int { return len(call.Prompt)/bytesPerToken + 1 }
+
+// prefixBytes is the part of a prompt that decides cache affinity.
+const prefixBytes = 256
+
+func prefixHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// checkDependencies returns a typed failure that names the first dependency,
+// direct or indirect, that is known to have no available upstream.
+func (r *Relay) checkDependencies(conf *entity.Configuration, service entity.Service) error {
+	seen := map[string]bool{}
+	var visit func(s entity.Service) error
+	visit = func(s entity.Service) error {
+		for _, name := range s.DependsOn {
+			if seen[name] {
+				continue
+			}
+			seen[name] = true
+			dependency, ok := conf.Service(name)
+			if !ok || !r.available(conf, dependency) {
+				return failure.NotRun(failure.DependencyUnavailable, "service %s depends on %s, which has no available upstream", service.Name, name)
+			}
+			if err := visit(dependency); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return visit(service)
+}
+
+// available reports whether some pool of the service can take work. A pool whose
+// state is unknown counts as available.
+func (r *Relay) available(conf *entity.Configuration, service entity.Service) bool {
+	for _, version := range service.Versions {
+		for _, name := range version.Pools {
+			p, ok := conf.Pool(name)
+			if !ok || conf.DataCentresOut[p.DataCentre] {
+				continue
+			}
+			if status, known := r.Pools.Status(name); !known || status.Available() {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/sink.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/stream"
+)
+
+// keepAliveInterval is the time between comments to a caller that waits.
+const keepAliveInterval = 5 * time.Second
+
+// sink receives the events of a generation.
+type sink interface {
+	start(stream.StartData) error
+	token(stream.EventID, string) error
+	restart(stream.RestartData) error
+	event(name string, data any) error
+	done(stream.DoneData) error
+	// held reports that tokens have not reached the caller yet.
+	held() bool
+}
+
+func newSink(call *Call, w *stream.Writer, maxBytes int) sink {
+	if call.Service.Delivery == entity.DeliverWhole {
+		return &wholeSink{w: w, limit: maxBytes}
+	}
+	return directSink{w}
+}
+
+// directSink delivers each token at once.
+type directSink struct{ w *stream.Writer }
+
+func (s directSink) start(d stream.StartData) error             { return s.w.Event(stream.EventStart, d) }
+func (s directSink) token(id stream.EventID, text string) error { return s.w.Token(id, text) }
+func (s directSink) restart(d stream.RestartData) error         { return s.w.Event(stream.EventRestart, d) }
+func (s directSink) event(name string, data any) error          { return s.w.Event(name, data) }
+func (s directSink) done(d stream.DoneData) error               { return s.w.Event(stream.EventDone, d) }
+func (s directSink) held() bool                                 { return false }
+
+// wholeSink holds the answer until it is complete, so that a lost generation can
+// be replaced without the caller seeing it.
+type wholeSink struct {
+	w       *stream.Writer
+	limit   int
+	size    int
+	startOf stream.StartData
+	ids     []stream.EventID
+	texts   []string
+	wrote   time.Time
+}
+
+func (s *wholeSink) start(d stream.StartData) error { s.startOf = d; return nil }
+
+func (s *wholeSink) token(id stream.EventID, text string) error {
+	s.size += len(text)
+	if s.size > s.limit {
+		return failure.New(failure.BodyTooLarge, "the answer is larger than %d bytes and the service delivers whole answers", s.limit)
+	}
+	s.ids = append(s.ids, id)
+	s.texts = append(s.texts, text)
+	if now := time.Now(); now.Sub(s.wrote) > keepAliveInterval {
+		s.wrote = now
+		return s.w.KeepAlive()
+	}
+	return nil
+}
+
+func (s *wholeSink) restart(stream.RestartData) error {
+	s.ids, s.texts, s.size = nil, nil, 0
+	return nil
+}
+
+func (s *wholeSink) event(name string, data any) error { return s.w.Event(name, data) }
+func (s *wholeSink) held() bool                        { return true }
+
+func (s *wholeSink) done(d stream.DoneData) error {
+	if err := s.w.Event(stream.EventStart, s.startOf); err != nil {
+		return err
+	}
+	for i, id := range s.ids {
+		if err := s.w.Token(id, s.texts[i]); err != nil {
+			return err
+		}
+	}
+	return s.w.Event(stream.EventDone, d)
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/tlsconf/tlsconf.go
@@ -0,0 +1,107 @@
+// Package tlsconf loads certificates from files and reloads them when the files
+// change, without a restart.
+package tlsconf
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// checkInterval bounds how often the files are examined; new certificates are in
+// use at most this long after the files changed.
+const checkInterval = time.Second
+
+// Source serves the current certificate and trust roots. It is safe for concurrent use.
+type Source struct {
+	certFile, keyFile, caFile string
+
+	mu       sync.Mutex
+	checked  time.Time
+	modified [3]time.Time
+	cert     *tls.Certificate
+	roots    *x509.CertPool
+}
+
+// New loads the files. It returns nil when certFile is empty, which means plain TCP.
+func New(certFile, keyFile, caFile string) (*Source, error) {
+	if certFile == "" {
+		return nil, nil
+	}
+	s := &Source{certFile: certFile, keyFile: keyFile, caFile: caFile}
+	if err := s.load(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Source) load() error {
+	cert, err := tls.LoadX509KeyPair(s.certFile, s.keyFile)
+	if err != nil {
+		return fmt.Errorf("certificate %s: %w", s.certFile, err)
+	}
+	pem, err := os.ReadFile(s.caFile)
+	if err != nil {
+		return fmt.Errorf("trust roots: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("trust roots: %s holds no certificate", s.caFile)
+	}
+	s.cert, s.roots, s.modified = &cert, roots, s.modTimes()
+	return nil
+}
+
+func (s *Source) modTimes() (times [3]time.Time) {
+	for i, file := range []string{s.certFile, s.keyFile, s.caFile} {
+		if info, err := os.Stat(file); err == nil {
+			times[i] = info.ModTime()
+		}
+	}
+	return times
+}
+
+// current returns the certificate and roots, reloaded when a file changed. Files
+// that do not load, for instance while they are being replaced, leave the old ones in use.
+func (s *Source) current() (*tls.Certificate, *x509.CertPool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.checked) > checkInterval {
+		s.checked = now
+		if s.modTimes() != s.modified {
+			_ = s.load()
+		}
+	}
+	return s.cert, s.roots
+}
+
+// Server returns a server configuration. With mutual set, clients must present a
+// certificate of the trust roots.
+func (s *Source) Server(mutual bool) *tls.Config {
+	if s == nil {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, roots := s.current()
+			c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}}
+			if mutual {
+				c.ClientAuth, c.ClientCAs = tls.RequireAndVerifyClientCert, roots
+			}
+			return c, nil
+		},
+	}
+}
+
+// Client returns the configuration of an outgoing connection to a peer.
+func (s *Source) Client() *tls.Config {
+	if s == nil {
+		return nil
+	}
+	cert, roots := s.current()
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, RootCAs: roots}
+}
