--- /dev/null
+++ b/internal/ctl/changes.go
@@ -0,0 +1,128 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"net/url"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/rattanscale/rattanscale/internal/operatorapi"
+)
+
+type applyCommand struct{ client }
+
+func (*applyCommand) Name() string     { return "apply" }
+func (*applyCommand) Synopsis() string { return "make a service text the configuration" }
+func (*applyCommand) Usage() string    { return "apply [flags] FILE\n" }
+
+func (c *applyCommand) SetFlags(f *flag.FlagSet) { c.changeFlags(f) }
+
+func (c *applyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return c.usage("apply needs one FILE")
+	}
+	text, err := os.ReadFile(f.Arg(0))
+	if err != nil {
+		return c.fail(err)
+	}
+	// Checked here first, so that errors name the operator's file.
+	if status := validate(c.environment, f.Arg(0), text); status != subcommands.ExitSuccess {
+		return status
+	}
+	return c.change(ctx, http.MethodPut, "/v1/text", "application/yaml", text)
+}
+
+type dataCentreCommand struct{ client }
+
+func (*dataCentreCommand) Name() string     { return "data-centre" }
+func (*dataCentreCommand) Synopsis() string { return "take a data centre out or bring it back" }
+func (*dataCentreCommand) Usage() string {
+	return "data-centre take-out|bring-back [flags] NAME\n"
+}
+
+func (c *dataCentreCommand) SetFlags(f *flag.FlagSet) { c.changeFlags(f) }
+
+func (c *dataCentreCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	verb, names, ok := c.verb(f, "data-centre", "take-out", "bring-back")
+	if !ok || len(names) != 1 {
+		return c.usage("usage: data-centre take-out|bring-back [flags] NAME")
+	}
+	return c.change(ctx, http.MethodPost, "/v1/data-centres/"+url.PathEscape(names[0])+"/"+verb, "", nil)
+}
+
+type hostCommand struct{ client }
+
+func (*hostCommand) Name() string     { return "host" }
+func (*hostCommand) Synopsis() string { return "list hosts, drain a host or let it return" }
+func (*hostCommand) Usage() string    { return "host list|drain|return [flags] [NAME]\n" }
+
+func (c *hostCommand) SetFlags(f *flag.FlagSet) { c.changeFlags(f) }
+
+func (c *hostCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	verb, names, ok := c.verb(f, "host", "list", "drain", "return")
+	switch {
+	case ok && verb == "list" && len(names) == 0:
+		return c.printStatus(ctx, func(s operatorapi.Status) any { return s.Observed.Hosts }, c.printHosts)
+	case ok && verb != "list" && len(names) == 1:
+		return c.change(ctx, http.MethodPost, "/v1/hosts/"+url.PathEscape(names[0])+"/"+verb, "", nil)
+	}
+	return c.usage("usage: host list|drain|return [flags] [NAME]")
+}
+
+type rolloutCommand struct {
+	client
+	finishWithin string
+}
+
+func (*rolloutCommand) Name() string     { return "rollout" }
+func (*rolloutCommand) Synopsis() string { return "start or undo a rollout, or show rollouts" }
+func (*rolloutCommand) Usage() string {
+	return "rollout start [flags] SERVICE VERSION\nrollout undo [flags] SERVICE\nrollout status [flags]\n"
+}
+
+func (c *rolloutCommand) SetFlags(f *flag.FlagSet) {
+	c.changeFlags(f)
+	f.StringVar(&c.finishWithin, "finish-within", "", "time for the whole rollout, such as 30m; default from the service text")
+}
+
+func (c *rolloutCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	verb, args, ok := c.verb(f, "rollout", "start", "undo", "status")
+	switch {
+	case ok && verb == "status" && len(args) == 0:
+		return c.printStatus(ctx, func(s operatorapi.Status) any { return s.Configuration.Rollouts }, c.printRollouts)
+	case ok && verb == "undo" && len(args) == 1:
+		return c.change(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(args[0])+"/rollout/undo", "", nil)
+	case ok && verb == "start" && len(args) == 2:
+		body, err := json.Marshal(map[string]string{"to": args[1], "finish_within": c.finishWithin})
+		if err != nil {
+			return c.fail(err)
+		}
+		return c.change(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(args[0])+"/rollout/start", "application/json", body)
+	}
+	return c.usage("usage: rollout start SERVICE VERSION | undo SERVICE | status")
+}
+
+// verb reads a second-level verb and the flags after it.
+func (c *client) verb(f *flag.FlagSet, name string, verbs ...string) (verb string, args []string, ok bool) {
+	if f.NArg() == 0 {
+		return "", nil, false
+	}
+	verb = f.Arg(0)
+	rest := flag.NewFlagSet(name+" "+verb, flag.ContinueOnError)
+	rest.SetOutput(c.stderr)
+	// Flags are accepted before and after the verb; the flags after it start from the values before it.
+	f.VisitAll(func(fl *flag.Flag) { rest.Var(fl.Value, fl.Name, fl.Usage) })
+	if err := rest.Parse(f.Args()[1:]); err != nil {
+		return "", nil, false
+	}
+	for _, v := range verbs {
+		if v == verb {
+			return verb, rest.Args(), true
+		}
+	}
+	return verb, rest.Args(), false
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,212 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/operatorapi"
+)
+
+const (
+	// requestTimeout bounds one request to the operator interface.
+	requestTimeout = 10 * time.Second
+	// waitPoll is the time between reads of a change's outcome.
+	waitPoll = 200 * time.Millisecond
+)
+
+// client holds the flags that every verb which talks to a daemon shares.
+type client struct {
+	*environment
+	addr    string
+	key     string
+	ca      string
+	output  string
+	expect  uint64
+	wait    bool
+	timeout time.Duration
+}
+
+func (c *client) readFlags(f *flag.FlagSet) {
+	f.StringVar(&c.addr, "addr", os.Getenv("RATTAN_ADDR"), "operator address of a host, IP:port (or RATTAN_ADDR)")
+	f.StringVar(&c.key, "key", os.Getenv("RATTAN_KEY"), "operator key (or RATTAN_KEY)")
+	f.StringVar(&c.ca, "ca", os.Getenv("RATTAN_CA"), "file with trust roots; uses TLS (or RATTAN_CA)")
+	f.StringVar(&c.output, "output", "text", "text or json")
+}
+
+func (c *client) changeFlags(f *flag.FlagSet) {
+	c.readFlags(f)
+	f.Uint64Var(&c.expect, "expect", 0, "revision that the change was made on; 0 means the current one")
+	f.BoolVar(&c.wait, "wait", false, "wait for the outcome: in force, finished or undone")
+	f.DurationVar(&c.timeout, "timeout", time.Minute, "longest wait")
+}
+
+func (c *client) url(path string) string {
+	scheme := "http"
+	if c.ca != "" {
+		scheme = "https"
+	}
+	return scheme + "://" + c.addr + path
+}
+
+func (c *client) transport() (http.RoundTripper, error) {
+	if c.ca == "" {
+		return http.DefaultTransport, nil
+	}
+	pem, err := os.ReadFile(c.ca)
+	if err != nil {
+		return nil, err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no certificate", c.ca)
+	}
+	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}, nil
+}
+
+// do sends a request and returns the answer; the caller closes its body.
+func (c *client) do(ctx context.Context, method, path, contentType string, body []byte) (*http.Response, error) {
+	if c.addr == "" {
+		return nil, errors.New("no address; give -addr IP:port or set RATTAN_ADDR")
+	}
+	if c.output != "text" && c.output != "json" {
+		return nil, fmt.Errorf("-output is %q; use text or json", c.output)
+	}
+	transport, err := c.transport()
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.url(path), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	if contentType != "" {
+		request.Header.Set("Content-Type", contentType)
+	}
+	response, err := (&http.Client{Transport: transport}).Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		defer func() { _ = response.Body.Close() }()
+		return nil, answerError(response)
+	}
+	return response, nil
+}
+
+// answerError reads the typed failure of an answer.
+func answerError(response *http.Response) error {
+	data, _ := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	var body failure.Body
+	if json.Unmarshal(data, &body) == nil && body.Error.Kind != "" {
+		return fmt.Errorf("%s: %s\nremedy: %s", body.Error.Kind, body.Error.Message, body.Error.Remedy)
+	}
+	return fmt.Errorf("%s: %s", response.Status, strings.TrimSpace(string(data)))
+}
+
+// get reads a JSON answer into out and returns its bytes.
+func (c *client) get(ctx context.Context, path string, out any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	response, err := c.do(ctx, http.MethodGet, path, "", nil)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	return data, json.Unmarshal(data, out)
+}
+
+// change sends a change, prints its identifier and, with -wait, its outcome.
+func (c *client) change(ctx context.Context, method, path, contentType string, body []byte) subcommands.ExitStatus {
+	if c.expect > 0 {
+		path += fmt.Sprintf("?expect=%d", c.expect)
+	}
+	requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	response, err := c.do(requestCtx, method, path, contentType, body)
+	if err != nil {
+		return c.fail(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var result operatorapi.ChangeResult
+	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
+		return c.fail(err)
+	}
+	if c.wait {
+		if result, err = c.waitFor(ctx, result); err != nil {
+			return c.fail(err)
+		}
+	}
+	c.printResult(result)
+	if c.wait && (result.Outcome == operatorapi.OutcomePending || result.Outcome == operatorapi.OutcomeUndone) {
+		return exitUndone
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *client) waitFor(ctx context.Context, result operatorapi.ChangeResult) (operatorapi.ChangeResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	for result.Outcome == operatorapi.OutcomePending {
+		select {
+		case <-ctx.Done():
+			return result, nil
+		case <-time.After(waitPoll):
+		}
+		var next operatorapi.ChangeResult
+		if _, err := c.get(ctx, "/v1/changes/"+result.ID, &next); err != nil {
+			if ctx.Err() != nil {
+				return result, nil
+			}
+			return result, err
+		}
+		result = next
+	}
+	return result, nil
+}
+
+func (c *client) printResult(r operatorapi.ChangeResult) {
+	if c.output == "json" {
+		c.printJSON(r)
+		return
+	}
+	_, _ = fmt.Fprintf(c.stdout, "change=%s revision=%d outcome=%s", r.ID, r.Revision, r.Outcome)
+	if r.Reason != "" {
+		_, _ = fmt.Fprintf(c.stdout, " reason=%q", r.Reason)
+	}
+	_, _ = fmt.Fprintln(c.stdout)
+}
+
+func (c *client) printJSON(value any) {
+	encoder := json.NewEncoder(c.stdout)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
+func (c *client) fail(err error) subcommands.ExitStatus {
+	_, _ = fmt.Fprintln(c.stderr, "rattanctl:", err)
+	return subcommands.ExitFailure
+}
+
+func (c *client) usage(format string, args ...any) subcommands.ExitStatus {
+	_, _ = fmt.Fprintf(c.stderr, "rattanctl: "+format+"\n", args...)
+	return subcommands.ExitUsageError
+}
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -1,7 +1,52 @@
 // Package ctl implements the verbs of rattanctl.
 package ctl
 
-import "io"
+import (
+	"context"
+	"flag"
+	"io"
 
-// Main runs the program with the given arguments and returns its exit status.
-func Main(args []string, stdout, stderr io.Writer) int { return 0 }
+	"github.com/google/subcommands"
+)
+
+// Exit statuses besides subcommands.ExitSuccess, ExitFailure (1) and ExitUsageError (2).
+const (
+	// exitInvalidText reports a service text with errors.
+	exitInvalidText subcommands.ExitStatus = 2
+	// exitUndone reports a change that was undone or not yet in force when the wait ended.
+	exitUndone subcommands.ExitStatus = 3
+)
+
+// Main runs rattanctl with the given arguments and returns its exit status.
+func Main(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("rattanctl", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	commander := subcommands.NewCommander(flags, "rattanctl")
+	commander.Output, commander.Error = stdout, stderr
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.CommandsCommand(), "")
+	env := &environment{stdout: stdout, stderr: stderr}
+	for _, c := range []subcommands.Command{
+		&validateCommand{env: env},
+		&replayCommand{env: env},
+		&applyCommand{client: client{environment: env}},
+		&textCommand{client: client{environment: env}},
+		&statusCommand{client: client{environment: env}},
+		&watchCommand{client: client{environment: env}},
+		&timelineCommand{client: client{environment: env}},
+		&hostCommand{client: client{environment: env}},
+		&dataCentreCommand{client: client{environment: env}},
+		&rolloutCommand{client: client{environment: env}},
+	} {
+		commander.Register(c, "")
+	}
+	if err := flags.Parse(args); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(context.Background()))
+}
+
+// environment holds the output streams of one invocation.
+type environment struct {
+	stdout, stderr io.Writer
+}
--- a/internal/entity/change.go
+++ b/internal/entity/change.go
@@ -1,6 +1,10 @@
 package entity
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // ChangeKind names what an entry of the change log does.
 type ChangeKind string
@@ -34,7 +38,29 @@
 	From    string `json:"from,omitempty"`
 	To      string `json:"to,omitempty"`
 	Step    int    `json:"step,omitempty"`
-	Reason  string `json:"reason,omitempty"`
+	// FinishWithin bounds a rollout; 0 means the duration of the service text.
+	FinishWithin time.Duration `json:"finish_within,omitempty"`
+	Reason       string        `json:"reason,omitempty"`
 	// Confirmed is the revision that an in-force entry confirms.
 	Confirmed uint64 `json:"confirmed,omitempty"`
 }
+
+// String returns the change as one line of key=value pairs.
+func (c Change) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision=%d change=%s kind=%s operator=%s at=%s", c.Revision, c.ID, c.Kind, c.Operator, c.At.UTC().Format(time.RFC3339Nano))
+	for _, field := range []struct{ key, value string }{
+		{"name", c.Name}, {"service", c.Service}, {"from", c.From}, {"to", c.To}, {"reason", c.Reason},
+	} {
+		if field.value != "" {
+			fmt.Fprintf(&b, " %s=%q", field.key, field.value)
+		}
+	}
+	if c.Step > 0 {
+		fmt.Fprintf(&b, " step=%d", c.Step)
+	}
+	if c.Confirmed > 0 {
+		fmt.Fprintf(&b, " confirmed=%d", c.Confirmed)
+	}
+	return b.String()
+}
