--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,396 @@
+package standin
+
+import (
+	"crypto/rand"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// EngineSettings describes an emulated model engine.
+type EngineSettings struct {
+	// Models lists the models loaded at start; an empty list accepts every model.
+	Models []string
+	// BaseStep, StepPerRequest and StepPerKiloToken add up to the time of one step.
+	BaseStep         time.Duration
+	StepPerRequest   time.Duration
+	StepPerKiloToken time.Duration
+	// PrefillPerKiloToken is added to the step in which a request is admitted.
+	PrefillPerKiloToken time.Duration
+	// ColdFactor multiplies the step time in the cold state; 0 means 1.
+	ColdFactor float64
+	// MemoryTokens bounds prompt and output tokens of the running requests; 0 means unlimited.
+	MemoryTokens int
+	// ColdRequests is the number of concurrent requests that the cold engine can
+	// bear; 0 means that the engine is never cold.
+	ColdRequests int
+	// WarmAfter is the number of completed requests that end the cold state.
+	WarmAfter int
+	// ResumeWindow is how long a generation without a reader is kept.
+	ResumeWindow time.Duration
+	// ReportLag is the age of the state that load reports show.
+	ReportLag time.Duration
+	// CacheLag delays cache events; every CacheGap-th event is missing (0: none).
+	CacheLag time.Duration
+	CacheGap uint64
+	// CachePrefixes bounds the cached prompt prefixes.
+	CachePrefixes int
+	// IgnoreFencing makes the engine carry out orders with an old fencing token.
+	IgnoreFencing bool
+	// OrderKey is the bearer key that orders must carry; empty means none.
+	OrderKey string
+	// LoadTime is how long loading a model takes.
+	LoadTime time.Duration
+}
+
+// DefaultEngineSettings returns the settings of a small warm engine.
+func DefaultEngineSettings() EngineSettings {
+	return EngineSettings{
+		BaseStep: 10 * time.Millisecond, StepPerRequest: 500 * time.Microsecond,
+		StepPerKiloToken: 200 * time.Microsecond, PrefillPerKiloToken: 5 * time.Millisecond,
+		MemoryTokens: 65536, ColdRequests: 0, WarmAfter: 4, ResumeWindow: 15 * time.Second,
+		ReportLag: 500 * time.Millisecond, CacheLag: 2 * time.Second, CacheGap: 5, CachePrefixes: 256,
+	}
+}
+
+// EngineStats counts what the engine did. It is the body of GET /stats.
+type EngineStats struct {
+	Incarnation  string   `json:"incarnation"`
+	Cold         bool     `json:"cold"`
+	Running      int      `json:"running"`
+	Waiting      int      `json:"waiting"`
+	MemoryTokens int      `json:"memory_tokens"`
+	Models       []string `json:"models"`
+	Role         string   `json:"role"`
+	// Starts counts generations per request identifier, PromptStarts per PromptFingerprint.
+	Starts          map[string]int `json:"starts"`
+	PromptStarts    map[string]int `json:"prompt_starts"`
+	Started         int            `json:"started"`
+	LastStartUnixMS int64          `json:"last_start_unix_ms"`
+	Completed       int            `json:"completed"`
+	Cancelled       int            `json:"cancelled"`
+	Dropped         int            `json:"dropped"`
+	Resumed         int            `json:"resumed"`
+	Tokens          int            `json:"tokens"`
+	Preemptions     int            `json:"preemptions"`
+	MaxRunning      int            `json:"max_running"`
+	// MaxCold is the highest number of requests held in the cold state.
+	MaxCold        int `json:"max_cold"`
+	ColdViolations int `json:"cold_violations"`
+	// Losses counts restarts in which all generations were lost.
+	Losses      int `json:"losses"`
+	Orders      int `json:"orders"`
+	StaleOrders int `json:"stale_orders"` // old fencing tokens, refused or carried out
+}
+
+// PromptFingerprint returns the key of EngineStats.PromptStarts.
+func PromptFingerprint(prompt string) string {
+	return strconv.FormatUint(xxhash.Sum64String(prompt), 16)
+}
+
+// generation is one run of a request. Its token at an offset is a function of
+// the identifier and the offset, so only the number of tokens is kept.
+type generation struct {
+	id           string
+	request      upstream.GenerateRequest
+	promptTokens int
+	target       int
+	finish       string
+	produced     int
+	done         bool
+	lost         bool
+	arrived      uint64
+	readers      int
+	idleSince    time.Time
+	changed      chan struct{} // closed at each change
+}
+
+func (g *generation) memory() int { return g.promptTokens + g.produced }
+
+func (g *generation) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Engine emulates a model engine with continuous batching in real time. It is
+// safe for concurrent use. Its creator closes it.
+type Engine struct {
+	settings EngineSettings
+	faults   *faultPlan
+	wake     chan struct{}
+	stop     chan struct{}
+	stopped  sync.WaitGroup
+
+	mu          sync.Mutex
+	incarnation string
+	cold        bool
+	leaving     bool
+	marker      string
+	warmedBy    int
+	arrivals    uint64
+	running     []*generation // in order of admission
+	waiting     []*generation // by priority, then arrival
+	held        map[string]*generation
+	models      []string
+	role        string
+	fence       uint64
+	history     []upstream.Report
+	cache       prefixCache
+	stats       EngineStats
+}
+
+// NewEngine starts an engine; Close stops it.
+func NewEngine(settings EngineSettings) *Engine {
+	e := &Engine{
+		settings: settings, wake: make(chan struct{}, 1), stop: make(chan struct{}),
+		held: map[string]*generation{}, stats: EngineStats{Starts: map[string]int{}, PromptStarts: map[string]int{}},
+		cache: prefixCache{size: settings.CachePrefixes},
+	}
+	e.faults = newFaultPlan(e.applyFault)
+	e.restart()
+	e.stopped.Add(1)
+	go e.run()
+	return e
+}
+
+// Close stops the engine and loses its generations. It must be called once.
+func (e *Engine) Close() {
+	close(e.stop)
+	e.stopped.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loseAll()
+}
+
+// SetFault makes the engine show the fault and reports whether its kind is known.
+func (e *Engine) SetFault(f Fault) bool { return e.faults.set(f) }
+
+func (e *Engine) applyFault(f Fault) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch f.Kind {
+	case FaultNone:
+		e.marker, e.leaving = "", false
+	case FaultColdRestart:
+		e.crash()
+	case FaultCrashOn:
+		e.marker = f.Marker
+	case FaultLeave:
+		e.leaving = true
+	default:
+		return false
+	}
+	e.record()
+	return true
+}
+
+// restart begins a new incarnation. The fencing token survives it, as it would
+// in an engine that keeps the token with its durable settings.
+func (e *Engine) restart() {
+	e.incarnation = "i" + strings.ToLower(rand.Text()[:10])
+	e.cold = e.settings.ColdRequests > 0
+	e.warmedBy = 0
+	e.models = slices.Clone(e.settings.Models)
+	e.cache.clear()
+	e.record()
+}
+
+func (e *Engine) crash() {
+	e.stats.Losses++
+	e.loseAll()
+	e.restart()
+}
+
+func (e *Engine) loseAll() {
+	for _, g := range e.held {
+		g.lost = true
+		g.notify()
+	}
+	clear(e.held)
+	e.running, e.waiting = nil, nil
+}
+
+// start queues a generation. A generation of the same request is replaced.
+func (e *Engine) start(request upstream.GenerateRequest) (*generation, *refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	prompt := promptTokens(request.Prompt)
+	if len(e.settings.Models) > 0 && !slices.Contains(e.models, request.Model) {
+		return nil, &refusal{404, "model_not_found", "model " + request.Model + " is not loaded"}
+	}
+	if limit := e.settings.MemoryTokens; limit > 0 && prompt >= limit {
+		return nil, &refusal{400, "prompt_too_long", "prompt exceeds the engine's memory"}
+	}
+	e.dropIdle()
+	if old := e.held[request.RequestID]; old != nil {
+		e.remove(old)
+	}
+	e.arrivals++
+	g := &generation{
+		id: "g" + strings.ToLower(rand.Text()[:8]), request: request, promptTokens: prompt,
+		arrived: e.arrivals, idleSince: time.Now(), changed: make(chan struct{}),
+	}
+	g.target, g.finish = outputLength(request)
+	e.held[request.RequestID] = g
+	e.waiting = append(e.waiting, g)
+	e.countStart(request)
+	e.checkCold()
+	e.record()
+	e.wakeUp()
+	return g, nil
+}
+
+func (e *Engine) countStart(request upstream.GenerateRequest) {
+	e.stats.Starts[request.RequestID]++
+	e.stats.PromptStarts[PromptFingerprint(request.Prompt)]++
+	e.stats.Started++
+	e.stats.LastStartUnixMS = time.Now().UnixMilli()
+	e.stats.MaxRunning = max(e.stats.MaxRunning, len(e.running)+len(e.waiting))
+}
+
+// checkCold makes the cold engine fail when it holds more than it can bear.
+func (e *Engine) checkCold() {
+	if !e.cold {
+		return
+	}
+	load := len(e.running) + len(e.waiting)
+	e.stats.MaxCold = max(e.stats.MaxCold, load)
+	if load > e.settings.ColdRequests {
+		e.stats.ColdViolations++
+		e.crash()
+	}
+}
+
+// resume returns the held generation if it can continue at the offset.
+func (e *Engine) resume(requestID, generationID string, offset int) *generation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropIdle()
+	g := e.held[requestID]
+	if g == nil || g.id != generationID || offset < 0 || offset > g.produced {
+		return nil
+	}
+	e.stats.Resumed++
+	return g
+}
+
+func (e *Engine) cancel(requestID string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.held[requestID]
+	if g == nil {
+		return false
+	}
+	if !g.done {
+		e.stats.Cancelled++
+	}
+	e.remove(g)
+	e.record()
+	return true
+}
+
+// remove frees the generation; its readers see it as lost.
+func (e *Engine) remove(g *generation) {
+	delete(e.held, g.request.RequestID)
+	e.leaveBatch(g)
+	g.lost = true
+	g.notify()
+}
+
+func (e *Engine) leaveBatch(g *generation) {
+	same := func(o *generation) bool { return o == g }
+	e.running = slices.DeleteFunc(e.running, same)
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+}
+
+// dropIdle removes generations that had no reader for the resume window.
+func (e *Engine) dropIdle() {
+	now := time.Now()
+	for _, g := range e.held {
+		if g.readers == 0 && now.Sub(g.idleSince) > e.settings.ResumeWindow {
+			if !g.done {
+				e.stats.Dropped++
+			}
+			e.remove(g)
+		}
+	}
+}
+
+func (e *Engine) attach(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.readers++
+}
+
+func (e *Engine) detach(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g.readers--; g.readers == 0 {
+		g.idleSince = time.Now()
+	}
+}
+
+// progress is what a reader of a generation sees at one moment.
+type progress struct {
+	produced int
+	done     bool
+	lost     bool
+	changed  <-chan struct{}
+}
+
+func (e *Engine) progress(g *generation) progress {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return progress{produced: g.produced, done: g.done, lost: g.lost, changed: g.changed}
+}
+
+// Stats returns a copy of the counters.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats
+	s.Incarnation, s.Cold, s.Role = e.incarnation, e.cold, e.role
+	s.Running, s.Waiting, s.MemoryTokens = len(e.running), len(e.waiting), e.memory()
+	s.Models = slices.Clone(e.models)
+	s.Starts, s.PromptStarts = cloneCounts(s.Starts), cloneCounts(s.PromptStarts)
+	return s
+}
+
+var lengthDirective = regexp.MustCompile(`\btokens=(\d{1,6})\b`)
+
+// outputLength returns the number of tokens that the request produces, which
+// the caller cannot know in advance, and the reason why the output ends there.
+func outputLength(request upstream.GenerateRequest) (tokens int, finish string) {
+	const shortest, spread = 8, 248
+	if m := lengthDirective.FindStringSubmatch(request.Prompt); m != nil {
+		tokens, _ = strconv.Atoi(m[1])
+	} else {
+		tokens = shortest + int(xxhash.Sum64String(request.Prompt)%spread)
+	}
+	if request.MaxTokens > 0 && tokens > request.MaxTokens {
+		return request.MaxTokens, "length"
+	}
+	return tokens, "stop"
+}
+
+// promptTokens estimates the length of a prompt as one token for four bytes.
+func promptTokens(prompt string) int { return (len(prompt) + 3) / 4 }
+
+func tokenText(g *generation, offset int) string {
+	return g.id + "-" + strconv.Itoa(offset) + " "
+}
+
+func cloneCounts(m map[string]int) map[string]int {
+	out := make(map[string]int, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/enginehttp.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// refusal is an answer that proves that the request did not run.
+type refusal struct {
+	status  int
+	code    string
+	message string
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
+func (f *refusal) write(w http.ResponseWriter) {
+	writeJSON(w, f.status, errorBody{errorDetail{Type: f.code, Message: f.message}})
+}
+
+type completionChunk struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+}
+
+type completionChoice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type resumeBody struct {
+	RequestID  string `json:"request_id"`
+	Generation string `json:"generation"`
+	Offset     int    `json:"offset"`
+}
+
+type cancelBody struct {
+	RequestID string `json:"request_id"`
+}
+
+type cacheEventsBody struct {
+	Events []upstream.CacheEvent `json:"events"`
+}
+
+// Handler serves the engine's HTTP interface: completions, resume, cancel, load
+// report, cache events, orders, faults and counters.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/resume", e.serveResume)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/cache-events", e.serveCacheEvents)
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.report())
+	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.Stats())
+	})
+	return e.faults.wrap(mux)
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var request upstream.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.RequestID == "" {
+		(&refusal{http.StatusBadRequest, "invalid_request", "the body needs request_id, model and prompt"}).write(w)
+		return
+	}
+	g, refused := e.start(request)
+	if refused != nil {
+		refused.write(w)
+		return
+	}
+	e.stream(w, r, g, 0)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	var body resumeBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		(&refusal{http.StatusBadRequest, "invalid_request", err.Error()}).write(w)
+		return
+	}
+	g := e.resume(body.RequestID, body.Generation, body.Offset)
+	if g == nil {
+		(&refusal{http.StatusNotFound, "unknown_generation", "the generation is not held at this offset"}).write(w)
+		return
+	}
+	e.stream(w, r, g, body.Offset)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var body cancelBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		(&refusal{http.StatusBadRequest, "invalid_request", err.Error()}).write(w)
+		return
+	}
+	e.cancel(body.RequestID) // an unknown request is already cancelled
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	if key := e.settings.OrderKey; key != "" &&
+		subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+key)) != 1 {
+		(&refusal{http.StatusUnauthorized, "unauthorized", "orders need the engine's key"}).write(w)
+		return
+	}
+	var order upstream.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		(&refusal{http.StatusBadRequest, "invalid_request", err.Error()}).write(w)
+		return
+	}
+	if !e.order(order) {
+		(&refusal{http.StatusConflict, "stale_fencing_token", "a newer fencing token was seen"}).write(w)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		(&refusal{http.StatusBadRequest, "invalid_request", "after must be a number"}).write(w)
+		return
+	}
+	e.mu.Lock()
+	events := e.cache.visible(after, e.settings.CacheGap, time.Now().Add(-e.settings.CacheLag))
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, cacheEventsBody{events})
+}
+
+// stream writes the tokens from the offset on as server-sent events. The
+// generation continues without a reader.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, next int) {
+	e.attach(g)
+	defer e.detach(g)
+	_, _, broken := e.faults.state()
+	out := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = out.Flush()
+	for {
+		p := e.progress(g)
+		if p.lost || !e.faults.hold(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		for ; next < p.produced; next++ {
+			writeChunk(w, g, next, tokenText(g, next), nil)
+		}
+		if p.done {
+			writeChunk(w, g, next, "", &g.finish)
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+			return
+		}
+		_ = out.Flush()
+		select {
+		case <-p.changed:
+		case <-broken:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeChunk(w http.ResponseWriter, g *generation, offset int, text string, finish *string) {
+	data, _ := json.Marshal(completionChunk{
+		ID: g.id + ":" + strconv.Itoa(offset), Object: "text_completion", Model: g.request.Model,
+		Choices: []completionChoice{{Text: text, FinishReason: finish}},
+	})
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data) // a broken connection shows in the request's context
+}
--- /dev/null
+++ b/internal/standin/enginestep.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// run executes steps while there is work.
+func (e *Engine) run() {
+	defer e.stopped.Done()
+	for {
+		var step <-chan time.Time
+		if duration, busy := e.beginStep(); busy {
+			step = time.After(duration)
+		}
+		select {
+		case <-e.stop:
+			return
+		case <-step:
+			e.finishStep()
+		case <-e.idleWake(step):
+		}
+	}
+}
+
+// idleWake returns the wake channel only between steps: an arrival during a
+// step waits for the next one.
+func (e *Engine) idleWake(step <-chan time.Time) <-chan struct{} {
+	if step != nil {
+		return nil
+	}
+	return e.wake
+}
+
+func (e *Engine) wakeUp() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// beginStep admits waiting requests and returns the time of the step.
+func (e *Engine) beginStep() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	slices.SortStableFunc(e.waiting, func(a, b *generation) int {
+		return cmp.Or(cmp.Compare(b.request.Priority, a.request.Priority), cmp.Compare(a.arrived, b.arrived))
+	})
+	prefill := 0
+	for len(e.waiting) > 0 {
+		g := e.waiting[0]
+		if !e.fits(e.memory() + g.memory() + len(e.running) + 1) {
+			break
+		}
+		prefill += e.prefillTokens(g)
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, g)
+	}
+	if len(e.running) == 0 {
+		return 0, false
+	}
+	return e.stepTime(prefill), true
+}
+
+func (e *Engine) stepTime(prefill int) time.Duration {
+	s := e.settings
+	const kilo = 1000
+	step := s.BaseStep + s.StepPerRequest*time.Duration(len(e.running)) +
+		s.StepPerKiloToken*time.Duration(e.memory())/kilo + s.PrefillPerKiloToken*time.Duration(prefill)/kilo
+	if e.cold && s.ColdFactor > 0 {
+		step = time.Duration(float64(step) * s.ColdFactor)
+	}
+	return step
+}
+
+// prefillTokens returns the tokens to compute at admission; a preempted
+// request computes its output again, and a cached prefix is free.
+func (e *Engine) prefillTokens(g *generation) int {
+	tokens := g.memory()
+	prefix := upstream.PrefixHash(g.request.Prompt)
+	if e.cache.touch(prefix, time.Now()) {
+		tokens -= min(len(g.request.Prompt), upstream.PrefixBytes) / 4
+	}
+	return max(tokens, 0)
+}
+
+// finishStep produces one token for each running request.
+func (e *Engine) finishStep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if slices.ContainsFunc(e.running, e.crashes) {
+		e.crash()
+		return
+	}
+	for _, g := range slices.Clone(e.running) {
+		if g.produced < g.target {
+			g.produced++
+			e.stats.Tokens++
+		}
+		if g.produced >= g.target {
+			e.complete(g, g.finish)
+		}
+		g.notify()
+	}
+	e.preempt()
+	e.dropIdle()
+	e.record()
+}
+
+func (e *Engine) crashes(g *generation) bool {
+	return e.marker != "" && strings.Contains(g.request.Prompt, e.marker)
+}
+
+func (e *Engine) complete(g *generation, finish string) {
+	g.done, g.finish = true, finish
+	if g.readers == 0 {
+		g.idleSince = time.Now()
+	}
+	e.leaveBatch(g)
+	e.stats.Completed++
+	if e.cold {
+		if e.warmedBy++; e.warmedBy >= e.settings.WarmAfter {
+			e.cold = false
+		}
+	}
+}
+
+// preempt returns the most recently admitted requests to the queue until the
+// next step fits. A request that does not fit alone ends.
+func (e *Engine) preempt() {
+	for len(e.running) > 0 && !e.fits(e.memory()+len(e.running)) {
+		last := e.running[len(e.running)-1]
+		if len(e.running) == 1 {
+			e.complete(last, "length")
+			last.notify()
+			return
+		}
+		e.running = e.running[:len(e.running)-1]
+		e.waiting = append(e.waiting, last)
+		e.stats.Preemptions++
+	}
+}
+
+func (e *Engine) fits(tokens int) bool {
+	return e.settings.MemoryTokens <= 0 || tokens <= e.settings.MemoryTokens
+}
+
+func (e *Engine) memory() int {
+	total := 0
+	for _, g := range e.running {
+		total += g.memory()
+	}
+	return total
+}
+
+// record adds the present state to the history from which lagging reports are served.
+func (e *Engine) record() {
+	now := time.Now()
+	e.history = append(e.history, upstream.Report{
+		Incarnation: e.incarnation, Cold: e.cold, Leaving: e.leaving, Running: len(e.running),
+		Waiting: len(e.waiting), MemoryTokens: e.memory(), Preemptions: e.stats.Preemptions,
+		Models: slices.Clone(e.models), Role: e.role, At: now,
+	})
+	e.trimHistory(now)
+}
+
+// trimHistory makes the first entry the newest one that is older than the lag.
+func (e *Engine) trimHistory(now time.Time) {
+	visible := now.Add(-e.settings.ReportLag)
+	keep := 0
+	for keep+1 < len(e.history) && !e.history[keep+1].At.After(visible) {
+		keep++
+	}
+	e.history = slices.Delete(e.history, 0, keep)
+}
+
+// report returns the state as it was one lag ago.
+func (e *Engine) report() upstream.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trimHistory(time.Now())
+	return e.history[0]
+}
+
+// loadModel makes the model available after the load time, unless the engine
+// restarted in between.
+func (e *Engine) loadModel(model string) {
+	incarnation := e.incarnation
+	time.AfterFunc(e.settings.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.incarnation == incarnation && !slices.Contains(e.models, model) {
+			e.models = append(e.models, model)
+			e.record()
+		}
+	})
+}
+
+// order carries out an order and reports false when its fencing token is too old.
+func (e *Engine) order(o upstream.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fencing < e.fence {
+		e.stats.StaleOrders++
+		if !e.settings.IgnoreFencing {
+			return false
+		}
+	}
+	e.fence = max(e.fence, o.Fencing)
+	e.stats.Orders++
+	switch o.Kind {
+	case upstream.OrderLoad:
+		e.loadModel(o.Model)
+	case upstream.OrderUnload:
+		e.models = slices.DeleteFunc(e.models, func(m string) bool { return m == o.Model })
+	case upstream.OrderRole:
+		e.role = o.Role
+	}
+	e.record()
+	return true
+}
--- /dev/null
+++ b/internal/standin/fault.go
@@ -0,0 +1,182 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// FaultKind names a fault that a stand-in can be told to show.
+type FaultKind string
+
+// The faults. Every stand-in knows none, down, slow, lose-answer, freeze and
+// reset; the others concern the engine only.
+const (
+	FaultNone        FaultKind = "none"
+	FaultDown        FaultKind = "down"
+	FaultSlow        FaultKind = "slow"
+	FaultLoseAnswer  FaultKind = "lose-answer"
+	FaultFreeze      FaultKind = "freeze"
+	FaultReset       FaultKind = "reset"
+	FaultColdRestart FaultKind = "cold-restart"
+	FaultCrashOn     FaultKind = "crash-on"
+	FaultLeave       FaultKind = "leave"
+)
+
+// Fault is the body of POST /fault.
+type Fault struct {
+	Kind FaultKind `json:"kind"`
+	// DelayMS is the added delay of slow, in milliseconds.
+	DelayMS int `json:"delay_ms,omitempty"`
+	// Count limits lose-answer to the next Count answers; 0 means until none.
+	Count int `json:"count,omitempty"`
+	// Marker is the text in a prompt on which crash-on acts.
+	Marker string `json:"marker,omitempty"`
+}
+
+// faultPlan holds the current fault and applies it to requests. It is safe for
+// concurrent use.
+type faultPlan struct {
+	mu      sync.Mutex
+	current Fault
+	changed chan struct{} // closed when the fault changes
+	broken  chan struct{} // closed when open connections must be reset
+	extra   func(Fault) bool
+}
+
+// newFaultPlan returns a plan without a fault. The function extra handles the
+// kinds that only one stand-in knows and reports whether it knows the kind.
+func newFaultPlan(extra func(Fault) bool) *faultPlan {
+	if extra == nil {
+		extra = func(Fault) bool { return false }
+	}
+	return &faultPlan{
+		current: Fault{Kind: FaultNone}, changed: make(chan struct{}), broken: make(chan struct{}), extra: extra,
+	}
+}
+
+// set makes the fault the current one and reports whether its kind is known.
+func (p *faultPlan) set(f Fault) bool {
+	switch f.Kind {
+	case FaultReset:
+		p.breakConnections()
+		return true
+	case FaultNone:
+		p.extra(f)
+	case FaultDown, FaultSlow, FaultLoseAnswer, FaultFreeze:
+	default:
+		return p.extra(f)
+	}
+	p.mu.Lock()
+	p.current = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.mu.Unlock()
+	if f.Kind == FaultDown {
+		p.breakConnections()
+	}
+	return true
+}
+
+func (p *faultPlan) breakConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.broken)
+	p.broken = make(chan struct{})
+}
+
+func (p *faultPlan) state() (f Fault, changed, broken <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current, p.changed, p.broken
+}
+
+// takeLostAnswer reports whether the next answer must be lost, and counts it.
+func (p *faultPlan) takeLostAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current.Kind != FaultLoseAnswer {
+		return false
+	}
+	if p.current.Count > 0 {
+		if p.current.Count--; p.current.Count == 0 {
+			p.current.Kind = FaultNone
+		}
+	}
+	return true
+}
+
+// hold delays the caller while slow or freeze is in force. It reports false
+// when the connection must be reset.
+func (p *faultPlan) hold(ctx context.Context) bool {
+	for {
+		f, changed, broken := p.state()
+		var delay <-chan time.Time
+		switch f.Kind {
+		case FaultDown:
+			return false
+		case FaultSlow:
+			delay = time.After(time.Duration(f.DelayMS) * time.Millisecond)
+		case FaultFreeze:
+		default:
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-broken:
+			return false
+		case <-delay:
+			return true
+		case <-changed:
+		}
+	}
+}
+
+// wrap serves POST /fault and applies the current fault to all other requests
+// except GET /stats.
+func (p *faultPlan) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/fault":
+			p.serve(w, r)
+			return
+		case "/stats":
+			next.ServeHTTP(w, r)
+			return
+		}
+		if !p.hold(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		if p.takeLostAnswer() {
+			next.ServeHTTP(&discardWriter{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *faultPlan) serve(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if r.Method != http.MethodPost || json.NewDecoder(r.Body).Decode(&f) != nil || !p.set(f) {
+		http.Error(w, "send POST with a fault kind that this stand-in knows", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// discardWriter drops an answer that the fault plan loses.
+type discardWriter struct{ header http.Header }
+
+func (d *discardWriter) Header() http.Header         { return d.header }
+func (d *discardWriter) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discardWriter) WriteHeader(int)             {}
+func (d *discardWriter) Flush()                      {}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a broken connection shows at the client
+}
--- /dev/null
+++ b/internal/standin/prefixcache.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// maxCacheEvents bounds the cache events kept for readers; older ones are lost
+// to them like any other gap.
+const maxCacheEvents = 4096
+
+type timedCacheEvent struct {
+	event upstream.CacheEvent
+	at    time.Time
+}
+
+// prefixCache is an engine's cache of prompt prefixes, least recently used
+// first. The engine's lock protects it.
+type prefixCache struct {
+	size     int
+	prefixes []uint64
+	sequence uint64
+	events   []timedCacheEvent
+}
+
+// touch makes the prefix the most recent one and reports whether it was cached.
+func (c *prefixCache) touch(prefix uint64, now time.Time) bool {
+	if c.size <= 0 {
+		return false
+	}
+	if i := slices.Index(c.prefixes, prefix); i >= 0 {
+		c.prefixes = append(slices.Delete(c.prefixes, i, i+1), prefix)
+		return true
+	}
+	if len(c.prefixes) >= c.size {
+		c.add(upstream.CacheEvent{Prefix: c.prefixes[0], Evicted: true}, now)
+		c.prefixes = slices.Delete(c.prefixes, 0, 1)
+	}
+	c.prefixes = append(c.prefixes, prefix)
+	c.add(upstream.CacheEvent{Prefix: prefix}, now)
+	return false
+}
+
+func (c *prefixCache) add(event upstream.CacheEvent, now time.Time) {
+	c.sequence++
+	event.Sequence = c.sequence
+	c.events = append(c.events, timedCacheEvent{event, now})
+	if excess := len(c.events) - maxCacheEvents; excess > 0 {
+		c.events = slices.Delete(c.events, 0, excess)
+	}
+}
+
+// clear empties the cache without events, as a crash does.
+func (c *prefixCache) clear() { c.prefixes = nil }
+
+// visible returns the events above the sequence number that are older than the
+// lag, without every gap-th one.
+func (c *prefixCache) visible(after, gap uint64, before time.Time) []upstream.CacheEvent {
+	out := []upstream.CacheEvent{}
+	for _, e := range c.events {
+		missing := gap > 0 && e.event.Sequence%gap == 0
+		if e.event.Sequence > after && !missing && !e.at.After(before) {
+			out = append(out, e.event)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/upstream/engine/engine.go
@@ -0,0 +1,246 @@
+// Package engine implements upstream.Engine over HTTP: completions in the
+// OpenAI form with server-sent events, and the engine's own resume, cancel,
+// load, cache-event and order calls.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+const (
+	maxReportBytes = 4 << 20
+	maxErrorBytes  = 4 << 10
+)
+
+// Settings configures a Client. Zero values take the defaults.
+type Settings struct {
+	// TokenTimeout is the longest silence of an engine within a stream (default 5 s).
+	TokenTimeout time.Duration
+	// CallTimeout bounds cancel, load, cache-event and order calls (default 2 s).
+	CallTimeout time.Duration
+	// DialTimeout bounds connection set-up (default 500 ms).
+	DialTimeout time.Duration
+	// IdlePerHost bounds the idle connections to one engine (default 16).
+	IdlePerHost int
+	// Credentials holds the bearer key for orders by upstream address.
+	Credentials map[string]string
+	// HTTP replaces the client's own transport, for tests.
+	HTTP *http.Client
+}
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.TokenTimeout, 5*time.Second)
+	setDefault(&s.CallTimeout, 2*time.Second)
+	setDefault(&s.DialTimeout, 500*time.Millisecond)
+	setDefault(&s.IdlePerHost, 16)
+	if s.HTTP == nil {
+		s.HTTP = upstream.NewHTTPClient(s.DialTimeout, s.IdlePerHost)
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Client implements upstream.Engine. It is safe for concurrent use. Close
+// releases its idle connections; open streams are closed by their users.
+type Client struct {
+	settings Settings
+}
+
+var _ upstream.Engine = (*Client)(nil)
+
+// New returns a client.
+func New(settings Settings) *Client {
+	settings.setDefaults()
+	return &Client{settings: settings}
+}
+
+// Close releases the idle connections.
+func (c *Client) Close() { c.settings.HTTP.CloseIdleConnections() }
+
+type completionRequest struct {
+	upstream.GenerateRequest
+	Stream bool `json:"stream"`
+}
+
+// Generate starts a generation. ErrNotSent and *RefusedError prove that it did
+// not run; after ErrLost it may have run.
+func (c *Client) Generate(
+	ctx context.Context, address string, request upstream.GenerateRequest,
+) (upstream.TokenStream, error) {
+	return c.open(ctx, address, "/v1/completions", completionRequest{request, true}, "", 0)
+}
+
+type resumeRequest struct {
+	RequestID  string `json:"request_id"`
+	Generation string `json:"generation"`
+	Offset     int    `json:"offset"`
+}
+
+// Resume continues the generation at the offset, or returns ErrUnknownGeneration.
+func (c *Client) Resume(
+	ctx context.Context, address, requestID, generation string, offset int,
+) (upstream.TokenStream, error) {
+	s, err := c.open(ctx, address, "/v1/resume", resumeRequest{requestID, generation, offset}, generation, offset)
+	var refused *upstream.RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return nil, upstream.ErrUnknownGeneration
+	}
+	return s, err
+}
+
+// open posts the body and returns the stream of its answer.
+func (c *Client) open(
+	ctx context.Context, address, path string, body any, generation string, offset int,
+) (upstream.TokenStream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &stream{cancel: cancel, timeout: c.settings.TokenTimeout}
+	s.silence = time.AfterFunc(s.timeout, func() { cancel(errSilent) })
+	response, err := c.send(ctx, http.MethodPost, address, path, body, "")
+	s.silence.Stop()
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	s.body = response.Body
+	s.ctx = ctx
+	s.parser = newParser(response.Body, generation, offset)
+	return s, nil
+}
+
+// Cancel ends the request at the engine. An unknown request counts as cancelled.
+func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
+	return c.call(ctx, http.MethodPost, address, "/v1/cancel", struct {
+		RequestID string `json:"request_id"`
+	}{requestID}, "", nil)
+}
+
+// Load returns the engine's load report, which lags.
+func (c *Client) Load(ctx context.Context, address string) (upstream.Report, error) {
+	var report upstream.Report
+	err := c.call(ctx, http.MethodGet, address, "/v1/load", nil, "", &report)
+	return report, err
+}
+
+// CacheEvents returns the events above the sequence number; they are late and have gaps.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]upstream.CacheEvent, error) {
+	var answer struct {
+		Events []upstream.CacheEvent `json:"events"`
+	}
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	err := c.call(ctx, http.MethodGet, address, "/v1/cache-events?"+query.Encode(), nil, "", &answer)
+	return answer.Events, err
+}
+
+// Order sends an order with its fencing token. The key of the order, or else
+// the credential of the address, goes with it. ErrStaleOrder reports a refusal
+// of an old token.
+func (c *Client) Order(ctx context.Context, address string, order upstream.Order) error {
+	key := order.Key
+	if key == "" {
+		key = c.settings.Credentials[address]
+	}
+	err := c.call(ctx, http.MethodPost, address, "/v1/orders", order, key, nil)
+	var refused *upstream.RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusConflict {
+		return upstream.ErrStaleOrder
+	}
+	return err
+}
+
+// call sends one bounded request and decodes its answer.
+func (c *Client) call(ctx context.Context, method, address, path string, body any, key string, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	response, err := c.send(ctx, method, address, path, body, key)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", upstream.ErrLost, err)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return fmt.Errorf("%w: %w", ErrProtocol, err)
+	}
+	return nil
+}
+
+// send sends one request. The answer of a nil error has a 2xx status and an open body.
+func (c *Client) send(
+	ctx context.Context, method, address, path string, body any, key string,
+) (*http.Response, error) {
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+		}
+		payload = bytes.NewReader(data)
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, method, upstream.URL(address, path), payload)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := c.settings.HTTP.Do(request)
+	if err != nil {
+		return nil, classify(ctx, err, connected.Load())
+	}
+	return checkStatus(response)
+}
+
+// classify maps a transport error: without a connection nothing was sent.
+func classify(ctx context.Context, err error, connected bool) error {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	if connected {
+		return fmt.Errorf("%w: %w", upstream.ErrLost, err)
+	}
+	return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+}
+
+// checkStatus closes the body unless the status is 2xx.
+func checkStatus(response *http.Response) (*http.Response, error) {
+	if response.StatusCode/100 == 2 {
+		return response, nil
+	}
+	message, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	_ = response.Body.Close()
+	if response.StatusCode/100 == 4 || response.StatusCode == http.StatusServiceUnavailable {
+		return nil, &upstream.RefusedError{Status: response.StatusCode, Message: strings.TrimSpace(string(message))}
+	}
+	return nil, fmt.Errorf("%w: status %d: %s", upstream.ErrLost, response.StatusCode, message)
+}
--- /dev/null
+++ b/internal/upstream/engine/engine_test.go
@@ -0,0 +1,126 @@
+package engine_test
+
+import (
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/standin"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+	"github.com/rattanscale/rattanscale/internal/upstream/engine"
+)
+
+type rig struct {
+	engine  *standin.Engine
+	client  *engine.Client
+	address string
+}
+
+// newRig starts an in-process engine whose steps take no longer than the machine needs.
+func newRig(t *testing.T, change func(*standin.EngineSettings), settings engine.Settings) rig {
+	s := standin.DefaultEngineSettings()
+	s.BaseStep, s.StepPerRequest, s.StepPerKiloToken, s.PrefillPerKiloToken = time.Millisecond, 0, 0, 0
+	s.ReportLag, s.CacheLag, s.ResumeWindow = 0, 0, time.Minute
+	if change != nil {
+		change(&s)
+	}
+	e := standin.NewEngine(s)
+	server := httptest.NewServer(e.Handler())
+	client := engine.New(settings)
+	t.Cleanup(func() { client.Close(); e.Close(); server.Close() })
+	return rig{e, client, server.Listener.Addr().String()}
+}
+
+func (r rig) generate(t *testing.T, id, prompt string) upstream.TokenStream {
+	s, err := r.client.Generate(t.Context(), r.address, upstream.GenerateRequest{RequestID: id, Prompt: prompt})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// read reads up to n tokens and checks offsets and text.
+func read(t *testing.T, s upstream.TokenStream, first, n int) (last upstream.Token) {
+	for i := range n {
+		token, err := s.Next()
+		require.NoError(t, err)
+		require.Equal(t, first+i, token.Offset)
+		if !token.Done {
+			require.Equal(t, fmt.Sprintf("%s-%d ", token.Generation, token.Offset), token.Text)
+		}
+		last = token
+	}
+	return last
+}
+
+// Guards against tokens lost or repeated when a reader breaks off and resumes,
+// also while the engine preempts.
+func TestResumeContinuesTheSameGeneration(t *testing.T) {
+	r := newRig(t, func(s *standin.EngineSettings) { s.MemoryTokens = 120 }, engine.Settings{})
+	other := r.generate(t, "other", "tokens=80")
+	s := r.generate(t, "r1", "tokens=80")
+	last := read(t, s, 0, 10)
+	require.NoError(t, s.Close())
+	resumed, err := r.client.Resume(t.Context(), r.address, "r1", last.Generation, 10)
+	require.NoError(t, err)
+	last = read(t, resumed, 10, 71)
+	assert.True(t, last.Done)
+	assert.Equal(t, "stop", last.Finish)
+	_, err = resumed.Next()
+	assert.ErrorIs(t, err, io.EOF)
+	require.NoError(t, resumed.Close())
+	read(t, other, 0, 81)
+	assert.Positive(t, r.engine.Stats().Preemptions)
+	assert.Equal(t, 1, r.engine.Stats().Starts["r1"])
+}
+
+// Guards against an upstream failure that is taken for proof that nothing ran.
+func TestErrorsTellWhetherTheRequestMayHaveRun(t *testing.T) {
+	r := newRig(t, func(s *standin.EngineSettings) { s.Models = []string{"m"} }, engine.Settings{})
+	request := upstream.GenerateRequest{RequestID: "r1", Model: "other", Prompt: "tokens=5"}
+	_, err := r.client.Generate(t.Context(), r.address, request)
+	var refused *upstream.RefusedError
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, 404, refused.Status)
+
+	request.Model = "m"
+	_, err = r.client.Generate(t.Context(), "127.0.0.1:1", request)
+	assert.ErrorIs(t, err, upstream.ErrNotSent)
+
+	_, err = r.client.Resume(t.Context(), r.address, "r1", "g-none", 0)
+	assert.ErrorIs(t, err, upstream.ErrUnknownGeneration)
+
+	r.engine.SetFault(standin.Fault{Kind: standin.FaultDown})
+	_, err = r.client.Generate(t.Context(), r.address, request)
+	assert.ErrorIs(t, err, upstream.ErrLost)
+	assert.NotErrorIs(t, err, upstream.ErrNotSent)
+}
+
+// Guards against a stream that ends without an error when the engine crashes.
+func TestCrashAndColdOverloadLoseTheStreams(t *testing.T) {
+	r := newRig(t, func(s *standin.EngineSettings) { s.ColdRequests = 2 }, engine.Settings{})
+	before := r.engine.Stats().Incarnation
+	a, b := r.generate(t, "a", "tokens=100000"), r.generate(t, "b", "tokens=100000")
+	read(t, a, 0, 3)
+	_, _ = r.client.Generate(t.Context(), r.address, upstream.GenerateRequest{RequestID: "c", Prompt: "x"})
+	for _, s := range []upstream.TokenStream{a, b} {
+		var err error
+		for err == nil {
+			_, err = s.Next()
+		}
+		assert.ErrorIs(t, err, upstream.ErrLost)
+	}
+	stats := r.engine.Stats()
+	assert.Equal(t, 1, stats.ColdViolations)
+	assert.Equal(t, 3, stats.MaxCold)
+	assert.NotEqual(t, before, stats.Incarnation)
+
+	r.engine.SetFault(standin.Fault{Kind: standin.FaultCrashOn, Marker: "poison"})
+	_, err := r.generate(t, "d", "poison tokens=9").Next()
+	assert.ErrorIs(t, err, upstream.ErrLost)
+	assert.Equal(t, 2, r.engine.Stats().Losses)
+}
--- /dev/null
+++ b/internal/upstream/engine/sse.go
@@ -0,0 +1,149 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// ErrProtocol reports that the engine sent something that is not the next token
+// of the generation. It wraps upstream.ErrLost, because the rest of the stream
+// cannot be trusted.
+var ErrProtocol = fmt.Errorf("%w: unexpected event", upstream.ErrLost)
+
+// maxEventBytes bounds one event, so that a faulty engine cannot exhaust memory.
+const maxEventBytes = 256 << 10
+
+var errDone = errors.New("end of events")
+
+type chunk struct {
+	ID      string        `json:"id"`
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// parser reads the tokens of one generation from server-sent events. It accepts
+// only the next offset of one generation. It is used by one goroutine.
+type parser struct {
+	events     *bufio.Scanner
+	generation string // "" until the first chunk
+	next       int
+	pending    *upstream.Token // the end, when it came with the last text
+	finished   bool
+}
+
+// newParser returns a parser that expects the given offset first, of the given
+// generation, or of any generation if the name is empty.
+func newParser(r io.Reader, generation string, offset int) *parser {
+	events := bufio.NewScanner(r)
+	events.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	return &parser{events: events, generation: generation, next: offset}
+}
+
+// token returns the next token, io.EOF after the end of the generation, or an
+// error that wraps upstream.ErrLost.
+func (p *parser) token() (upstream.Token, error) {
+	if p.pending != nil {
+		t := *p.pending
+		p.pending = nil
+		return t, nil
+	}
+	if p.finished {
+		return upstream.Token{}, io.EOF
+	}
+	data, err := p.event()
+	if errors.Is(err, errDone) {
+		return upstream.Token{}, fmt.Errorf("%w: stream ended without a finish reason", ErrProtocol)
+	}
+	if err != nil {
+		return upstream.Token{}, err
+	}
+	return p.decode(data)
+}
+
+// event returns the data of the next event.
+func (p *parser) event() ([]byte, error) {
+	var data []byte
+	seen := false
+	for p.events.Scan() {
+		line := p.events.Bytes()
+		if len(line) == 0 {
+			if !seen {
+				continue
+			}
+			if string(data) == "[DONE]" {
+				return nil, errDone
+			}
+			return data, nil
+		}
+		value, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue // comments and other fields carry no token
+		}
+		if seen {
+			data = append(data, '\n')
+		}
+		seen = true
+		if data = append(data, bytes.TrimPrefix(value, []byte(" "))...); len(data) > maxEventBytes {
+			return nil, fmt.Errorf("%w: event above %d bytes", ErrProtocol, maxEventBytes)
+		}
+	}
+	if err := p.events.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrLost, err)
+	}
+	return nil, fmt.Errorf("%w: connection closed within the generation", upstream.ErrLost)
+}
+
+func (p *parser) decode(data []byte) (upstream.Token, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return upstream.Token{}, fmt.Errorf("%w: %w", ErrProtocol, err)
+	}
+	generation, offset, err := splitID(c.ID)
+	if err != nil || len(c.Choices) != 1 {
+		return upstream.Token{}, fmt.Errorf("%w: chunk %q with %d choices", ErrProtocol, c.ID, len(c.Choices))
+	}
+	if p.generation == "" {
+		p.generation = generation
+	}
+	if generation != p.generation || offset != p.next {
+		return upstream.Token{}, fmt.Errorf("%w: got %q, expected %s:%d", ErrProtocol, c.ID, p.generation, p.next)
+	}
+	return p.accept(c.Choices[0]), nil
+}
+
+func (p *parser) accept(choice chunkChoice) upstream.Token {
+	t := upstream.Token{Generation: p.generation, Offset: p.next, Text: choice.Text}
+	if choice.FinishReason == nil {
+		p.next++
+		return t
+	}
+	p.finished = true
+	end := upstream.Token{Generation: p.generation, Offset: p.next, Done: true, Finish: *choice.FinishReason}
+	if choice.Text == "" {
+		return end
+	}
+	end.Offset++
+	p.pending = &end
+	return t
+}
+
+func splitID(id string) (generation string, offset int, err error) {
+	i := strings.LastIndexByte(id, ':')
+	if i <= 0 {
+		return "", 0, ErrProtocol
+	}
+	offset, err = strconv.Atoi(id[i+1:])
+	return id[:i], offset, err
+}
--- /dev/null
+++ b/internal/upstream/prefix.go
@@ -0,0 +1,11 @@
+package upstream
+
+import "github.com/cespare/xxhash/v2"
+
+// PrefixBytes is the length of the prompt prefix that CacheEvent.Prefix covers.
+const PrefixBytes = 256
+
+// PrefixHash returns the hash by which cache events name the prefix of a prompt.
+func PrefixHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), PrefixBytes)])
+}
