Add parser and validation of the service text

Reads the YAML tree itself, because a decoder stops at the first wrong type while operators need every problem with its line at once. Tokens are checked before the recursive parser runs, since a stack overflow would end the process.

--- /dev/null
+++ b/internal/servicetext/parse.go
@@ -0,0 +1,203 @@
+// Package servicetext parses and validates the operators' service text. A text
+// is checked as a whole: either all of it is accepted or every problem is
+// returned, each with file, line, path, value and remedy.
+//
+// Fields that a text leaves out get these values:
+//
+//	pools[].fencing                      ignores
+//	pools[].limits.cold-requests         1
+//	pools[].limits.max-requests          32
+//	pools[].limits.memory-tokens         unlimited
+//	pools[].limits.target-step           62ms (engine and application pools)
+//	pools[].upstreams[].leaving          false
+//	services[].delivery                  error
+//	services[].repeatable                true
+//	services[].priority                  5
+//	services[].deadline                  60s
+//	services[].versions[].share          100 for the only version, else 0
+//	services[].rollout.finish-within     30m
+//	services[].rollout.max-error-increase 0.02
+//	services[].rollout.max-slowdown      1.5
+//	accounts[].share                     1
+//	accounts[].max-queued                100
+//
+// Anchors, aliases, tags, merge keys and explicit keys ("?") are refused, so
+// that a line shows what it means and a text cannot expand beyond its size.
+//
+// All functions are safe for concurrent use.
+package servicetext
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+)
+
+// The size limits of a text.
+const (
+	MaxBytes     = 1 << 20
+	MaxUpstreams = 10_000
+	MaxServices  = 1_000
+	MaxAccounts  = 20_000
+)
+
+const (
+	maxNameLength  = 64
+	maxDataCentres = 64
+	maxVersions    = 16
+	maxReferences  = 1_000
+	maxRequests    = 100_000
+	maxQueued      = 1_000_000
+	// minMemoryTokens holds one request with a prompt of 256 tokens and an answer of equal length.
+	minMemoryTokens = 512
+	maxMemoryTokens = 1 << 40
+	// maxNesting bounds the parser's recursion; the deepest valid text has 6 levels.
+	maxNesting = 32
+
+	minTargetStep     = time.Millisecond
+	maxTargetStep     = 10 * time.Second
+	defaultTargetStep = 62 * time.Millisecond
+
+	minDeadline     = 10 * time.Millisecond
+	maxDeadline     = 24 * time.Hour
+	defaultDeadline = 60 * time.Second
+	defaultPriority = 5
+
+	minFinishWithin     = time.Minute
+	maxFinishWithin     = 24 * time.Hour
+	defaultFinishWithin = 30 * time.Minute
+	// An increase below 0.5% cannot be told from the tolerance of the rollout's test.
+	minErrorIncrease     = 0.005
+	maxErrorIncrease     = 0.5
+	defaultErrorIncrease = 0.02
+	minSlowdown          = 1.05
+	maxSlowdown          = 10
+	defaultSlowdown      = 1.5
+
+	defaultColdRequests = 1
+	defaultMaxRequests  = 32
+	defaultAccountShare = 1
+	minAccountShare     = 0.001
+	maxAccountShare     = 1_000_000
+	defaultMaxQueued    = 100
+	fullShare           = 100
+)
+
+// Parse returns the content of the text. The error is a failure.InvalidText that
+// carries Problems; file is the name that they show.
+func Parse(file string, data []byte) (*entity.ServiceText, error) {
+	r := &reader{file: file}
+	root := r.root(data)
+	if root == nil {
+		return nil, r.problems.failure()
+	}
+	text := newTextReader(r).read(root)
+	if len(r.problems) > 0 {
+		return nil, r.problems.failure()
+	}
+	return text, nil
+}
+
+// root returns the mapping that the text consists of, or nil after a problem.
+func (r *reader) root(data []byte) *place {
+	top := &place{index: -1, line: 1}
+	if len(data) > MaxBytes {
+		r.reportValue(top, strconv.Itoa(len(data)), fmt.Sprintf("is longer than %d bytes", MaxBytes), "shorten the text")
+		return nil
+	}
+	tree, syntax := parseYAML(data)
+	switch {
+	case syntax != nil:
+		top.line = syntax.line
+		r.reportValue(top, syntax.value, syntax.message, "correct the YAML syntax")
+		return nil
+	case len(tree.Docs) == 0 || tree.Docs[0].Body == nil:
+		r.report(top, "is empty", "write version, data-centres, pools, services and accounts")
+		return nil
+	case len(tree.Docs) > 1:
+		top.line = lineOf(tree.Docs[1].Body, 1)
+		r.report(top, "holds more than one document", "keep one document")
+		return nil
+	}
+	top.node = tree.Docs[0].Body
+	return top
+}
+
+type syntaxProblem struct {
+	line    int
+	value   string
+	message string
+}
+
+// parseYAML turns the parser's panics on malformed input into a syntax problem.
+func parseYAML(data []byte) (tree *ast.File, problem *syntaxProblem) {
+	defer func() {
+		if v := recover(); v != nil {
+			tree, problem = nil, &syntaxProblem{line: 1, message: fmt.Sprintf("cannot be parsed: %v", v)}
+		}
+	}()
+	tokens := lexer.Tokenize(string(data))
+	if problem := checkTokens(tokens); problem != nil {
+		return nil, problem
+	}
+	tree, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, syntaxProblemOf(err)
+	}
+	return tree, nil
+}
+
+func syntaxProblemOf(err error) *syntaxProblem {
+	p := &syntaxProblem{line: 1, message: "is not valid YAML: " + err.Error()}
+	if typed, ok := err.(positioned); ok {
+		p.message = "is not valid YAML: " + typed.GetMessage()
+		if t := typed.GetToken(); t != nil && t.Position != nil {
+			p.line, p.value = t.Position.Line, t.Value
+		}
+	}
+	return p
+}
+
+// checkTokens refuses indirections and deep nesting before the recursive parser
+// sees them: a stack overflow would end the process.
+func checkTokens(tokens token.Tokens) *syntaxProblem {
+	depth, inRow, line := 0, 0, 0
+	for _, t := range tokens {
+		if t.Position.Line != line {
+			line, inRow = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.AnchorType, token.AliasType, token.TagType, token.MergeKeyType, token.MappingKeyType:
+			return &syntaxProblem{line, t.Value, "anchors, aliases, tags, merge keys and explicit keys are not allowed"}
+		case token.MappingStartType, token.SequenceStartType:
+			depth++
+			inRow++
+		case token.MappingEndType, token.SequenceEndType:
+			depth--
+		case token.SequenceEntryType, token.MappingValueType:
+			inRow++
+		case token.CollectEntryType:
+			inRow = 0
+		case token.InvalidType:
+			return &syntaxProblem{line, strings.TrimSpace(t.Value), "is not valid YAML: " + t.Error}
+		}
+		if depth > maxNesting || inRow > maxNesting {
+			return &syntaxProblem{line, t.Value, "is nested too deeply"}
+		}
+	}
+	return nil
+}
+
+// positioned is the form of the parser's errors.
+type positioned interface {
+	GetMessage() string
+	GetToken() *token.Token
+}
--- /dev/null
+++ b/internal/servicetext/sections.go
@@ -0,0 +1,330 @@
+package servicetext
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+)
+
+// reference is a name that must exist once the whole text has been read.
+type reference struct {
+	at   *place
+	name string
+}
+
+// textReader reads the sections and collects what is checked across them.
+type textReader struct {
+	*reader
+	text        *entity.ServiceText
+	names       map[nameKey]*place
+	addresses   map[netip.AddrPort]*place
+	centreUses  []reference
+	upstreams   int
+	serviceAt   []servicePlaces
+	poolIndex   map[string]int
+	serviceByID map[string]int
+}
+
+// servicePlaces keeps the places of one service that later checks report.
+type servicePlaces struct {
+	at       *place
+	depends  []reference
+	pools    []reference // of all versions
+	models   []modelUse
+	delivery *place
+}
+
+// modelUse is a version with its pools, for the check that only engines have models.
+type modelUse struct {
+	at     *place
+	model  string
+	stated bool // the field is there, even with a wrong value
+	pools  []string
+}
+
+type nameKey struct{ kind, scope, name string }
+
+func newTextReader(r *reader) *textReader {
+	return &textReader{
+		reader: r, text: &entity.ServiceText{}, names: map[nameKey]*place{}, addresses: map[netip.AddrPort]*place{},
+		poolIndex: map[string]int{}, serviceByID: map[string]int{},
+	}
+}
+
+var (
+	textFields     = []string{"version", "data-centres", "pools", "services", "accounts"}
+	poolFields     = []string{"name", "kind", "data-centre", "fencing", "limits", "upstreams"}
+	limitFields    = []string{"cold-requests", "max-requests", "memory-tokens", "target-step"}
+	upstreamFields = []string{"name", "address", "leaving"}
+	serviceFields  = []string{"name", "depends-on", "delivery", "repeatable", "priority", "deadline", "versions", "rollout"}
+	versionFields  = []string{"name", "model", "pools", "share"}
+	rolloutFields  = []string{"finish-within", "max-error-increase", "max-slowdown"}
+	accountFields  = []string{"name", "share", "max-queued"}
+)
+
+func (t *textReader) read(root *place) *entity.ServiceText {
+	t.fields(root, textFields, []string{"version", "data-centres", "pools", "services"}, func(key string, f *place) {
+		switch key {
+		case "version":
+			t.integer(f, 1, 1, 1)
+		case "data-centres":
+			t.list(f, maxDataCentres, func(_ int, e *place) {
+				t.text.DataCentres = append(t.text.DataCentres, t.unique("data centre", "", e))
+			})
+		case "pools":
+			t.list(f, MaxUpstreams, func(_ int, e *place) { t.readPool(e) })
+		case "services":
+			t.list(f, MaxServices, func(_ int, e *place) { t.readService(e) })
+		case "accounts":
+			t.list(f, MaxAccounts, func(_ int, e *place) { t.readAccount(e) })
+		}
+	})
+	t.checkReferences()
+	t.checkCycles()
+	return t.text
+}
+
+// unique reads a name and reports it when the same kind and scope already have it.
+func (t *textReader) unique(kind, scope string, p *place) string {
+	name := t.name(p)
+	if name == "" {
+		return ""
+	}
+	key := nameKey{kind, scope, name}
+	if first, taken := t.names[key]; taken {
+		t.report(p, fmt.Sprintf("is the name of another %s in line %d", kind, first.line), "give each "+kind+" its own name")
+		return name
+	}
+	t.names[key] = p
+	return name
+}
+
+func (t *textReader) readPool(p *place) {
+	pool := entity.Pool{Fencing: entity.FencingIgnores}
+	var limits *place
+	var upstreams *place
+	t.fields(p, poolFields, []string{"name", "kind", "data-centre", "upstreams"}, func(key string, f *place) {
+		switch key {
+		case "name":
+			pool.Name = t.unique("pool", "", f)
+		case "kind":
+			pool.Kind = entity.UpstreamKind(t.oneOf(f, string(entity.KindEngine), string(entity.KindApplication), string(entity.KindPlain)))
+		case "data-centre":
+			pool.DataCentre = t.name(f)
+			t.centreUses = append(t.centreUses, reference{f, pool.DataCentre})
+		case "fencing":
+			pool.Fencing = entity.Fencing(t.oneOf(f, string(entity.FencingRefusesOld), string(entity.FencingIgnores)))
+		case "limits":
+			limits = f
+		case "upstreams":
+			upstreams = f
+		}
+	})
+	pool.Limits = t.readLimits(pool.Kind, limits)
+	if upstreams != nil {
+		t.list(upstreams, MaxUpstreams, func(_ int, e *place) {
+			pool.Upstreams = append(pool.Upstreams, t.readUpstream(pool.Name, e))
+		})
+	}
+	if _, taken := t.poolIndex[pool.Name]; !taken { // after a repeated name the first pool stands for it
+		t.poolIndex[pool.Name] = len(t.text.Pools)
+	}
+	t.text.Pools = append(t.text.Pools, pool)
+}
+
+// readLimits reads the limits after the kind is known, because a plain service has no tokens.
+func (t *textReader) readLimits(kind entity.UpstreamKind, p *place) entity.Limits {
+	limits := entity.Limits{ColdRequests: defaultColdRequests, MaxRequests: defaultMaxRequests}
+	if kind != entity.KindPlain {
+		limits.TargetStep = defaultTargetStep
+	}
+	if p == nil {
+		return limits
+	}
+	var cold *place
+	t.fields(p, limitFields, nil, func(key string, f *place) {
+		if kind == entity.KindPlain && (key == "memory-tokens" || key == "target-step") {
+			t.report(f, "has no effect in a plain pool", "remove the field")
+			return
+		}
+		switch key {
+		case "cold-requests":
+			cold = f
+			limits.ColdRequests = t.integer(f, 1, maxRequests, defaultColdRequests)
+		case "max-requests":
+			limits.MaxRequests = t.integer(f, 1, maxRequests, maxRequests)
+		case "memory-tokens":
+			limits.MemoryTokens = t.integer(f, minMemoryTokens, maxMemoryTokens, 0)
+		case "target-step":
+			limits.TargetStep = t.duration(f, minTargetStep, maxTargetStep, defaultTargetStep)
+		}
+	})
+	if cold != nil && limits.ColdRequests > limits.MaxRequests {
+		t.report(cold, fmt.Sprintf("is above max-requests %d", limits.MaxRequests), "lower cold-requests or raise max-requests")
+	}
+	return limits
+}
+
+func (t *textReader) readUpstream(pool string, p *place) entity.Upstream {
+	upstream := entity.Upstream{Pool: pool}
+	t.fields(p, upstreamFields, []string{"name", "address"}, func(key string, f *place) {
+		switch key {
+		case "name":
+			upstream.Name = t.unique("upstream", "", f)
+		case "address":
+			upstream.Address = t.address(f)
+		case "leaving":
+			upstream.Leaving = t.boolean(f, false)
+		}
+	})
+	if t.upstreams++; t.upstreams == MaxUpstreams+1 {
+		t.reportValue(p, strconv.Itoa(t.upstreams), fmt.Sprintf("is above the limit of %d upstreams", MaxUpstreams), "remove upstreams")
+	}
+	return upstream
+}
+
+func (t *textReader) address(p *place) string {
+	before := len(t.problems)
+	s := t.reader.text(p)
+	if len(t.problems) > before {
+		return ""
+	}
+	parsed, err := netip.ParseAddrPort(s)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() {
+		t.report(p, "is not an IP address and port", "write an address such as 10.0.0.7:9001 or [fd00::7]:9001")
+		return ""
+	}
+	normal := netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port())
+	if first, taken := t.addresses[normal]; taken {
+		t.report(p, fmt.Sprintf("is the address of another upstream in line %d", first.line), "give each upstream its own address")
+		return s
+	}
+	t.addresses[normal] = p
+	return s
+}
+
+func (t *textReader) readService(p *place) {
+	s := entity.Service{
+		Delivery: entity.DeliverError, Repeatable: true, Priority: defaultPriority, Deadline: defaultDeadline,
+		Rollout: entity.RolloutPolicy{FinishWithin: defaultFinishWithin, MaxErrorIncrease: defaultErrorIncrease, MaxSlowdown: defaultSlowdown},
+	}
+	places := servicePlaces{at: p}
+	t.fields(p, serviceFields, []string{"name", "versions"}, func(key string, f *place) {
+		switch key {
+		case "name":
+			s.Name = t.unique("service", "", f)
+		case "depends-on":
+			s.DependsOn = t.references(f, &places.depends)
+		case "delivery":
+			places.delivery = f
+			s.Delivery = entity.Delivery(t.oneOf(f, string(entity.DeliverWhole), string(entity.DeliverRestart), string(entity.DeliverError)))
+		case "repeatable":
+			s.Repeatable = t.boolean(f, true)
+		case "priority":
+			s.Priority = t.integer(f, 0, 9, defaultPriority)
+		case "deadline":
+			s.Deadline = t.duration(f, minDeadline, maxDeadline, defaultDeadline)
+		case "versions":
+			s.Versions = t.readVersions(f, &places)
+		case "rollout":
+			s.Rollout = t.readRollout(f, s.Rollout)
+		}
+	})
+	t.serviceByID[s.Name] = len(t.text.Services)
+	t.text.Services = append(t.text.Services, s)
+	t.serviceAt = append(t.serviceAt, places)
+}
+
+// references reads a list of names without repetition and notes them for checkReferences.
+func (t *textReader) references(p *place, notes *[]reference) []string {
+	var names []string
+	seen := map[string]bool{}
+	t.list(p, maxReferences, func(_ int, e *place) {
+		name := t.name(e)
+		switch {
+		case name == "":
+		case seen[name]:
+			t.report(e, "is listed twice", "keep one of the two")
+		default:
+			seen[name] = true
+			names = append(names, name)
+			*notes = append(*notes, reference{e, name})
+		}
+	})
+	return names
+}
+
+func (t *textReader) readVersions(p *place, places *servicePlaces) []entity.Version {
+	var versions []entity.Version
+	shared, sum, before := false, 0, len(t.problems)
+	scope := strconv.Itoa(len(t.text.Services)) // unique even when two services have one name
+	t.list(p, maxVersions, func(_ int, e *place) {
+		v := entity.Version{}
+		modelStated := false
+		t.fields(e, versionFields, []string{"name", "pools"}, func(key string, f *place) {
+			switch key {
+			case "name":
+				v.Name = t.unique("version", scope, f)
+			case "model":
+				modelStated = true
+				v.Model = t.name(f)
+			case "pools":
+				v.Pools = t.references(f, &places.pools)
+				if n, ok := f.node.(*ast.SequenceNode); ok && len(n.Values) == 0 {
+					t.report(f, "is empty", "list at least one pool")
+				}
+			case "share":
+				shared = true
+				v.Share = t.integer(f, 0, fullShare, 0)
+			}
+		})
+		sum += v.Share
+		versions = append(versions, v)
+		places.models = append(places.models, modelUse{e, v.Model, modelStated, v.Pools})
+	})
+	if len(versions) == 1 && !shared {
+		versions[0].Share, sum = fullShare, fullShare
+	}
+	if len(t.problems) > before {
+		return versions // a wrong share or version would be reported twice
+	}
+	if len(versions) == 0 {
+		t.report(p, "is empty", "list at least one version")
+	} else if sum != fullShare {
+		t.reportValue(p, strconv.Itoa(sum), "is the sum of the shares, not 100", "set shares that add up to 100")
+	}
+	return versions
+}
+
+func (t *textReader) readRollout(p *place, policy entity.RolloutPolicy) entity.RolloutPolicy {
+	t.fields(p, rolloutFields, nil, func(key string, f *place) {
+		switch key {
+		case "finish-within":
+			policy.FinishWithin = t.duration(f, minFinishWithin, maxFinishWithin, defaultFinishWithin)
+		case "max-error-increase":
+			policy.MaxErrorIncrease = t.number(f, minErrorIncrease, maxErrorIncrease, defaultErrorIncrease)
+		case "max-slowdown":
+			policy.MaxSlowdown = t.number(f, minSlowdown, maxSlowdown, defaultSlowdown)
+		}
+	})
+	return policy
+}
+
+func (t *textReader) readAccount(p *place) {
+	account := entity.ClientAccount{Share: defaultAccountShare, MaxQueued: defaultMaxQueued}
+	t.fields(p, accountFields, []string{"name"}, func(key string, f *place) {
+		switch key {
+		case "name":
+			account.Name = t.unique("client account", "", f)
+		case "share":
+			account.Share = t.number(f, minAccountShare, maxAccountShare, defaultAccountShare)
+		case "max-queued":
+			account.MaxQueued = t.integer(f, 1, maxQueued, defaultMaxQueued)
+		}
+	})
+	t.text.Accounts = append(t.text.Accounts, account)
+}
