--- /dev/null
+++ b/internal/admission/predictor.go
@@ -0,0 +1,177 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"strings"
+)
+
+const (
+	// backoffWeight is the number of observations of an account that count as
+	// much as the service's distribution, and of a service as much as the prior.
+	backoffWeight = 8.0
+	// priorObservations keeps a long tail in every service's distribution.
+	priorObservations = 2.0
+	// The prior is log-logistic: heavy-tailed around a median.
+	priorMedian = 256.0
+	priorShape  = 1.2
+	// maxAccounts bounds the account histograms kept for a pool.
+	maxAccounts = 2048
+)
+
+// Key names the traffic that shares an output-length distribution.
+type Key struct {
+	Service string
+	Account string
+}
+
+func (k Key) compare(o Key) int {
+	if c := strings.Compare(k.Service, o.Service); c != 0 {
+		return c
+	}
+	return strings.Compare(k.Account, o.Account)
+}
+
+// Lengths is the predicted distribution of output lengths of one Key. It stays
+// valid until the next call of Predictor.Observe.
+type Lengths struct {
+	tails tails
+	mean  float64
+}
+
+// Mean returns the expected output length.
+func (l *Lengths) Mean() float64 { return l.mean }
+
+// Alive returns the probability that a request that has produced some tokens,
+// and may produce at most limit (0 means no limit), produces more than ahead further tokens.
+func (l *Lengths) Alive(produced, limit, ahead int) float64 {
+	if limit > 0 && produced+ahead >= limit {
+		return 0
+	}
+	if ahead <= 0 {
+		return 1
+	}
+	s := l.tails.above(produced - 1)
+	if s <= 1e-9 {
+		return 0.5
+	}
+	return l.tails.above(produced+ahead-1) / s
+}
+
+// Remaining returns the expected number of further tokens.
+func (l *Lengths) Remaining(produced, limit int) float64 {
+	if produced == 0 && limit == 0 {
+		return l.mean
+	}
+	sum, last, at := 0.0, 1.0, 0
+	for _, t := range grid[1:] {
+		p := l.Alive(produced, limit, t)
+		sum += (last + p) / 2 * float64(t-at)
+		last, at = p, t
+	}
+	return sum
+}
+
+type serviceLengths struct {
+	histogram Histogram
+	mixed     Lengths
+	version   uint32
+	valid     bool
+}
+
+type accountLengths struct {
+	histogram      Histogram
+	mixed          Lengths
+	version        uint32
+	serviceVersion uint32
+	valid          bool
+	used           uint64
+}
+
+// Predictor learns output lengths for each service and client account. An
+// account with few observations uses its service's distribution, and a service
+// with few observations uses a heavy-tailed prior.
+type Predictor struct {
+	services map[string]*serviceLengths
+	accounts map[Key]*accountLengths
+	prior    Lengths
+	clock    uint64
+}
+
+// NewPredictor returns a predictor that knows only the prior.
+func NewPredictor() *Predictor {
+	p := &Predictor{services: map[string]*serviceLengths{}, accounts: map[Key]*accountLengths{}}
+	for b := range p.prior.tails {
+		x := lowerBound(b)
+		p.prior.tails[b] = float32(1 / (1 + math.Pow(x/priorMedian, priorShape)))
+	}
+	p.prior.mean = p.prior.tails.mean()
+	return p
+}
+
+// Observe records the length of a completed output.
+func (p *Predictor) Observe(key Key, length int) {
+	p.clock++
+	s := p.services[key.Service]
+	if s == nil {
+		s = &serviceLengths{}
+		p.services[key.Service] = s
+	}
+	s.histogram.Add(length)
+	a := p.accounts[key]
+	if a == nil {
+		if len(p.accounts) >= maxAccounts {
+			p.evict()
+		}
+		a = &accountLengths{}
+		p.accounts[key] = a
+	}
+	a.used = p.clock
+	a.histogram.Add(length)
+}
+
+// evict drops the account histograms that were used least recently.
+func (p *Predictor) evict() {
+	keys := make([]Key, 0, len(p.accounts))
+	for k := range p.accounts {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		if x, y := p.accounts[a].used, p.accounts[b].used; x != y {
+			if x < y {
+				return -1
+			}
+			return 1
+		}
+		return a.compare(b)
+	})
+	for _, k := range keys[:len(keys)/8+1] {
+		delete(p.accounts, k)
+	}
+}
+
+// Lengths returns the distribution for a key.
+func (p *Predictor) Lengths(key Key) *Lengths {
+	s := p.services[key.Service]
+	if s == nil {
+		return &p.prior
+	}
+	if !s.valid || s.version != s.histogram.version {
+		s.histogram.mixInto(&s.mixed.tails, &p.prior.tails, priorObservations)
+		s.mixed.mean = s.mixed.tails.mean()
+		s.version, s.valid = s.histogram.version, true
+	}
+	a := p.accounts[key]
+	if a == nil {
+		return &s.mixed
+	}
+	if !a.valid || a.version != a.histogram.version || a.serviceVersion != s.version {
+		a.histogram.mixInto(&a.mixed.tails, &s.mixed.tails, backoffWeight)
+		a.mixed.mean = a.mixed.tails.mean()
+		a.version, a.serviceVersion, a.valid = a.histogram.version, s.version, true
+	}
+	return &a.mixed
+}
+
+// Accounts returns the number of account histograms kept.
+func (p *Predictor) Accounts() int { return len(p.accounts) }
--- /dev/null
+++ b/internal/fairqueue/heap.go
@@ -0,0 +1,76 @@
+package fairqueue
+
+// itemHeap orders the requests of one account: those with a time by which the
+// answer is needed come first, the earliest at the head; the others follow in
+// the order of arrival.
+type itemHeap[T any] []*Item[T]
+
+func (h itemHeap[T]) Len() int { return len(h) }
+
+func (h itemHeap[T]) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.FinishBy.IsZero() != b.FinishBy.IsZero() {
+		return b.FinishBy.IsZero()
+	}
+	if !a.FinishBy.Equal(b.FinishBy) {
+		return a.FinishBy.Before(b.FinishBy)
+	}
+	return a.sequence < b.sequence
+}
+
+func (h itemHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (h *itemHeap[T]) Push(x any) {
+	it := x.(*Item[T])
+	it.position = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	n := len(old) - 1
+	it := old[n]
+	old[n] = nil
+	*h = old[:n]
+	return it
+}
+
+// flowHeap orders the accounts of one priority by virtual start; the name decides ties.
+type flowHeap[T any] []*flow[T]
+
+func (h flowHeap[T]) Len() int { return len(h) }
+
+func (h flowHeap[T]) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].account < h[j].account
+}
+
+func (h flowHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap[T]) Push(x any) {
+	f := x.(*flow[T])
+	f.position = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap[T]) Pop() any {
+	old := *h
+	n := len(old) - 1
+	f := old[n]
+	old[n] = nil
+	f.position = -1
+	*h = old[:n]
+	return f
+}
--- /dev/null
+++ b/internal/fairqueue/queue.go
@@ -0,0 +1,336 @@
+// Package fairqueue is the bounded queue of requests that wait for a permit. It
+// orders them by priority, then by weighted fair share of the client accounts,
+// then by the time by which the answer is needed. A Queue has no locks: its
+// caller serialises access.
+package fairqueue
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Priorities is the number of priorities; 0 is the lowest.
+const Priorities = 10
+
+// AgeStep is the time without service after which a waiting priority counts as
+// one higher. It guarantees each priority one request per AgeStep for each
+// priority above it.
+const AgeStep = 5 * time.Second
+
+// Item is one waiting request.
+type Item[T any] struct {
+	ID       string
+	Account  string
+	Weight   float64
+	Priority int
+	// Cost is the expected work, in tokens.
+	Cost float64
+	// FinishBy is the time by which the answer is needed; zero means none.
+	FinishBy time.Time
+	// Deadline is the latest useful start; zero means none.
+	Deadline time.Time
+	Enqueued time.Time
+	Value    T
+
+	sequence uint64
+	position int
+	flow     *flow[T]
+}
+
+// flow is the queue of one account within one priority.
+type flow[T any] struct {
+	account  string
+	weight   float64
+	items    itemHeap[T]
+	start    float64 // virtual start of the next request
+	position int     // in the level's heap, -1 when idle
+	cost     float64
+}
+
+type level[T any] struct {
+	flows  map[string]*flow[T]
+	active flowHeap[T]
+	clock  float64
+	served time.Time // last service, or the time since which requests wait
+	count  int
+	cost   float64
+}
+
+// Queue holds the waiting requests of one pool.
+type Queue[T any] struct {
+	levels   [Priorities]level[T]
+	index    map[string]*Item[T]
+	accounts map[string]int
+	total    int
+	sequence uint64
+	urgent   [Priorities]bool
+}
+
+// New returns an empty queue that holds at most total requests.
+func New[T any](total int) *Queue[T] {
+	q := &Queue[T]{index: map[string]*Item[T]{}, accounts: map[string]int{}, total: total}
+	for i := range q.levels {
+		q.levels[i].flows = map[string]*flow[T]{}
+	}
+	return q
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue[T]) Len() int { return len(q.index) }
+
+// Level returns the number of requests that wait with a priority.
+func (q *Queue[T]) Level(priority int) int { return q.levels[clamp(priority)].count }
+
+// Contains reports whether a request waits.
+func (q *Queue[T]) Contains(id string) bool { return q.index[id] != nil }
+
+// Push adds a request. It returns false when the account already has maxQueued
+// requests waiting (0 means no such bound), the queue is full or the identifier waits already.
+func (q *Queue[T]) Push(now time.Time, item Item[T], maxQueued int) bool {
+	if q.index[item.ID] != nil || len(q.index) >= q.total {
+		return false
+	}
+	if maxQueued > 0 && q.accounts[item.Account] >= maxQueued {
+		return false
+	}
+	item.Priority = clamp(item.Priority)
+	if item.Weight <= 0 {
+		item.Weight = 1
+	}
+	q.sequence++
+	it := &item
+	it.sequence, it.Enqueued = q.sequence, now
+	l := &q.levels[it.Priority]
+	f := l.flow(it.Account)
+	f.weight = it.Weight
+	it.flow = f
+	q.index[it.ID] = it
+	q.accounts[it.Account]++
+	if l.count == 0 {
+		l.served = now
+	}
+	l.count++
+	l.cost += it.Cost
+	f.cost += it.Cost
+	heap.Push(&f.items, it)
+	if f.position < 0 {
+		f.start = max(f.start, l.clock)
+		heap.Push(&l.active, f)
+	}
+	return true
+}
+
+func (l *level[T]) flow(account string) *flow[T] {
+	f := l.flows[account]
+	if f == nil {
+		f = &flow[T]{account: account, position: -1, start: l.clock}
+		l.flows[account] = f
+	}
+	return f
+}
+
+// Remove takes a waiting request out without service, for example when its requester left.
+func (q *Queue[T]) Remove(id string) (Item[T], bool) {
+	it := q.index[id]
+	if it == nil {
+		return Item[T]{}, false
+	}
+	q.unlink(it)
+	return *it, true
+}
+
+// unlink takes a request out. Its flow must be in its level's heap.
+func (q *Queue[T]) unlink(it *Item[T]) {
+	l, f := &q.levels[it.Priority], it.flow
+	heap.Remove(&f.items, it.position)
+	delete(q.index, it.ID)
+	if q.accounts[it.Account]--; q.accounts[it.Account] == 0 {
+		delete(q.accounts, it.Account)
+	}
+	l.count--
+	l.cost = max(l.cost-it.Cost, 0)
+	f.cost = max(f.cost-it.Cost, 0)
+	if len(f.items) == 0 {
+		heap.Remove(&l.active, f.position)
+		l.drop(f)
+	}
+}
+
+// drop forgets an idle flow that has no lead over the level's virtual clock.
+func (l *level[T]) drop(f *flow[T]) {
+	if f.position < 0 && f.start <= l.clock {
+		delete(l.flows, f.account)
+	}
+	if l.count == 0 {
+		// Nobody waits, so nobody's lead matters to anybody.
+		clear(l.flows)
+		l.clock = 0
+	}
+}
+
+// Verdict tells Scan what to do with a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Take removes the request as served and continues.
+	Take Verdict = iota
+	// Skip leaves the request and passes over its account within its priority.
+	Skip
+	// Drop removes the request without charging its account.
+	Drop
+	// Stop ends the scan.
+	Stop
+)
+
+// SetUrgent marks priorities that must be served first, because requests in them
+// would otherwise miss the time by which they are needed.
+func (q *Queue[T]) SetUrgent(urgent [Priorities]bool) { q.urgent = urgent }
+
+// Scan offers waiting requests in the order of service until visit returns Stop
+// or none is left. visit must not change the queue.
+func (q *Queue[T]) Scan(now time.Time, visit func(*Item[T]) Verdict) {
+	var done [Priorities]bool
+	var skipped [Priorities][]*flow[T]
+	defer func() {
+		for p := range skipped {
+			for _, f := range skipped[p] {
+				heap.Push(&q.levels[p].active, f)
+			}
+		}
+	}()
+	for {
+		p := q.next(now, &done)
+		if p < 0 {
+			return
+		}
+		l := &q.levels[p]
+		f := l.active[0]
+		switch visit(f.items[0]) {
+		case Stop:
+			return
+		case Skip:
+			heap.Pop(&l.active)
+			skipped[p] = append(skipped[p], f)
+		case Drop:
+			q.unlink(f.items[0])
+		case Take:
+			q.serve(now, l, f)
+		}
+		done[p] = len(l.active) == 0
+	}
+}
+
+func (q *Queue[T]) serve(now time.Time, l *level[T], f *flow[T]) {
+	it := f.items[0]
+	l.clock = max(l.clock, f.start)
+	f.start += it.Cost / f.weight
+	l.served = now
+	heap.Fix(&l.active, f.position)
+	q.unlink(it)
+}
+
+// next returns the priority to serve, or -1.
+func (q *Queue[T]) next(now time.Time, done *[Priorities]bool) int {
+	best, bestRank := -1, 0
+	for p := Priorities - 1; p >= 0; p-- {
+		l := &q.levels[p]
+		if done[p] || len(l.active) == 0 {
+			continue
+		}
+		rank := p + int(now.Sub(l.served)/AgeStep)
+		if q.urgent[p] {
+			rank += Priorities
+		}
+		// On a tie the lower priority is served: it has waited longer.
+		if best < 0 || rank >= bestRank {
+			best, bestRank = p, rank
+		}
+	}
+	return best
+}
+
+// Correct charges an account for the difference between actual and expected cost.
+func (q *Queue[T]) Correct(account string, priority int, delta float64) {
+	l := &q.levels[clamp(priority)]
+	f := l.flows[account]
+	if f == nil {
+		if delta <= 0 || l.count == 0 {
+			return
+		}
+		f = l.flow(account)
+		f.weight = 1
+	}
+	f.start += delta / f.weight
+	if f.position >= 0 {
+		f.start = max(f.start, 0)
+		heap.Fix(&l.active, f.position)
+		return
+	}
+	l.drop(f)
+}
+
+// Expire removes and returns the requests whose deadline has passed, in the order in which they came.
+func (q *Queue[T]) Expire(now time.Time) []Item[T] {
+	var out []Item[T]
+	for _, it := range q.index {
+		if !it.Deadline.IsZero() && now.After(it.Deadline) {
+			out = append(out, *it)
+		}
+	}
+	slices.SortFunc(out, func(a, b Item[T]) int { return cmp.Compare(a.sequence, b.sequence) })
+	for i := range out {
+		q.unlink(q.index[out[i].ID])
+	}
+	return out
+}
+
+// Drain removes and returns all requests in the order in which they came.
+func (q *Queue[T]) Drain() []Item[T] {
+	out := make([]Item[T], 0, len(q.index))
+	for _, it := range q.index {
+		out = append(out, *it)
+	}
+	slices.SortFunc(out, func(a, b Item[T]) int { return cmp.Compare(a.sequence, b.sequence) })
+	for i := range out {
+		q.unlink(q.index[out[i].ID])
+	}
+	return out
+}
+
+// Cost returns the expected work of all waiting requests.
+func (q *Queue[T]) Cost() float64 {
+	sum := 0.0
+	for p := range q.levels {
+		sum += q.levels[p].cost
+	}
+	return sum
+}
+
+// Ahead returns the cost that is served before a new request of the account:
+// all higher priorities and, of its own priority, at most the account's backlog
+// scaled up by the share of the others.
+func (q *Queue[T]) Ahead(account string, weight float64, priority int) float64 {
+	priority = clamp(priority)
+	sum := 0.0
+	for p := priority + 1; p < Priorities; p++ {
+		sum += q.levels[p].cost
+	}
+	l := &q.levels[priority]
+	if weight <= 0 {
+		weight = 1
+	}
+	own, weights := 0.0, weight
+	for _, f := range l.active {
+		if f.account == account {
+			own = f.cost
+			continue
+		}
+		weights += f.weight
+	}
+	return sum + min(l.cost, own*weights/weight)
+}
+
+func clamp(priority int) int { return min(max(priority, 0), Priorities-1) }
--- /dev/null
+++ b/internal/pool/decide.go
@@ -0,0 +1,193 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/admission"
+	"github.com/rattanscale/rattanscale/internal/fairqueue"
+	"github.com/rattanscale/rattanscale/internal/routing"
+)
+
+const (
+	// scanDepth bounds the waiting requests considered past one that fits nowhere.
+	scanDepth = 8
+	// overtakeTime is the wait after which a request that fits nowhere may no longer be overtaken.
+	overtakeTime = 2 * time.Second
+	// throughputWindow is the interval over which the rate of grants is measured.
+	throughputWindow = time.Second
+	throughputWeight = 0.2
+)
+
+// Decide returns what must be done now: grants, refusals and cancellations.
+func (s *State) Decide(now time.Time) []Command {
+	s.expire(now)
+	for _, it := range s.queue.Expire(now) {
+		s.refuse(it.ID, ReasonDeadline, 0)
+	}
+	s.expireSuspects(now)
+	s.settled(now)
+	if s.out {
+		s.refuseAll()
+	} else if !now.Before(s.holdUntil) {
+		s.isolate(now)
+		s.grantWaiting(now)
+	}
+	out := s.pending
+	s.pending = nil
+	return out
+}
+
+func (s *State) refuseAll() {
+	for _, it := range s.queue.Drain() {
+		s.refuse(it.ID, ReasonNoUpstream, 0)
+	}
+}
+
+// grantWaiting grants waiting requests in fair order while some upstream has room.
+func (s *State) grantWaiting(now time.Time) {
+	open := s.open(now)
+	passed := 0
+	s.queue.Scan(now, func(it *fairqueue.Item[*Request]) fairqueue.Verdict {
+		r := it.Value
+		if left, refused := s.quarantine.Refused(now, r.Fingerprint); refused {
+			s.refuse(r.ID, ReasonQuarantined, left)
+			return fairqueue.Drop
+		}
+		if s.quarantine.ShouldIsolate(now, r.Fingerprint) {
+			s.queueSuspect(*r)
+			return fairqueue.Drop
+		}
+		if !s.usable(r) {
+			s.refuse(r.ID, ReasonNoUpstream, 0)
+			return fairqueue.Drop
+		}
+		if len(open) == 0 {
+			return fairqueue.Stop
+		}
+		u := s.pick(open, r)
+		if u == nil {
+			if passed++; passed >= scanDepth || now.Sub(it.Enqueued) >= overtakeTime {
+				return fairqueue.Stop
+			}
+			return fairqueue.Skip
+		}
+		s.throughput.granted(now, it.Cost)
+		s.grant(now, u, r, false)
+		if s.headroom(now, u) <= 0 {
+			open = slices.DeleteFunc(open, func(o *upstream) bool { return o == u })
+		}
+		return fairqueue.Take
+	})
+	s.throughput.tick(now, s.queue.Len() > 0)
+}
+
+// open returns the upstreams that may receive a request, in the order of their names.
+func (s *State) open(now time.Time) []*upstream {
+	if s.queue.Len() == 0 {
+		return nil
+	}
+	var out []*upstream
+	for _, u := range s.upstreams {
+		if u != s.isolation.upstream && s.headroom(now, u) > 0 {
+			u.refresh(s.lengths)
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// pick returns the upstream for a request, or nil when it fits nowhere now.
+func (s *State) pick(open []*upstream, r *Request) *upstream {
+	var add admission.Profile
+	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, s.lengths.Lengths(keyOf(r)))
+	candidates := make([]routing.Candidate, 0, len(open))
+	fitting := make([]*upstream, 0, len(open))
+	for _, u := range open {
+		if slices.Contains(r.Exclude, u.name) {
+			continue
+		}
+		load, fits := s.load(u, &add)
+		if !fits {
+			continue
+		}
+		cached := u.prefixes != nil && u.prefixes.Holds(r.PrefixHash)
+		candidates = append(candidates, routing.Candidate{Name: u.name, Load: load, Cached: cached})
+		fitting = append(fitting, u)
+	}
+	i := routing.Pick(candidates, s.routingKey(r))
+	if i < 0 {
+		return nil
+	}
+	return fitting[i]
+}
+
+// load predicts an upstream's load with one more request, as a share of its
+// capacity, and whether the request fits. An empty upstream takes any request.
+func (s *State) load(u *upstream, add *admission.Profile) (float64, bool) {
+	limits := &s.pool.Limits
+	load := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
+	fits := true
+	if limits.MemoryTokens > 0 {
+		share := u.profile.PeakWith(add, s.sigmas) / float64(limits.MemoryTokens)
+		load, fits = max(load, share), share <= 1
+	}
+	if fits && limits.TargetStep > 0 && s.needsReports() {
+		share := float64(u.model.Worst(&u.profile, add)) / float64(limits.TargetStep)
+		load, fits = max(load, share), share <= 1
+	}
+	return load, fits || u.running() == 0
+}
+
+// grant gives a permit and charges the upstream with it.
+func (s *State) grant(now time.Time, u *upstream, r *Request, alone bool) *permit {
+	p := &permit{
+		Permit: Permit{
+			ID: s.nextID, RequestID: r.ID, Upstream: u.name, Incarnation: u.incarnation,
+			Expires: now.Add(s.cfg.PermitTerm),
+		},
+		request: *r, granted: now, expected: s.cost(r), alone: alone,
+	}
+	s.nextID++
+	s.add(u, p)
+	u.notePrefix(r.PrefixHash)
+	u.profile.Add(p.load(), s.lengths.Lengths(keyOf(r)))
+	s.pending = append(s.pending, Grant{Permit: p.Permit})
+	return p
+}
+
+// throughput estimates the work granted per second while requests wait.
+type throughput struct {
+	rate  float64
+	cost  float64
+	since time.Time
+}
+
+func (t *throughput) granted(now time.Time, cost float64) {
+	if t.since.IsZero() {
+		t.since = now
+	}
+	t.cost += cost
+}
+
+func (t *throughput) tick(now time.Time, waiting bool) {
+	if t.since.IsZero() || now.Sub(t.since) < throughputWindow {
+		return
+	}
+	rate := t.cost / now.Sub(t.since).Seconds()
+	switch {
+	case t.rate == 0:
+		t.rate = rate
+	case waiting || rate > t.rate:
+		t.rate += throughputWeight * (rate - t.rate)
+	}
+	t.cost, t.since = 0, now
+}
+
+// wait returns the expected time until the given work has been granted.
+func (t *throughput) wait(cost float64) time.Duration {
+	if t.rate <= 0 {
+		return 0
+	}
+	return time.Duration(min(cost/t.rate, 3600) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/pool/epoch.go
@@ -0,0 +1,172 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+)
+
+// HoldUntil starts a new epoch for this owner or deputy: nothing is granted
+// before the given time. Until Settle, or until the permit term has passed, the
+// counts follow the upstreams' own reports where those are higher, and limits
+// are at most the cold limit.
+func (s *State) HoldUntil(now, until time.Time) {
+	s.epochStart, s.holdUntil = now, until
+	s.settleAt = now.Add(s.cfg.PermitTerm)
+	if s.settleAt.Before(until) {
+		s.settleAt = until
+	}
+	s.unsettled = true
+	for _, u := range s.upstreams {
+		u.proven = false
+	}
+}
+
+// Settle ends the new epoch's caution: every member of the previous view has
+// registered its permits, or the previous owner handed over its running set.
+func (s *State) Settle(_ time.Time) {
+	s.unsettled = false
+	s.changed = true
+}
+
+// Adopt registers running permits of a previous owner. Registering a permit
+// again updates it. A permit of an upstream that is not in the pool is ignored.
+func (s *State) Adopt(now time.Time, permits []AdoptedPermit) {
+	for _, a := range permits {
+		u := s.upstream(a.Permit.Upstream)
+		if u == nil {
+			continue
+		}
+		if p := s.permits[a.Permit.ID]; p != nil {
+			p.tokens = max(p.tokens, a.Tokens)
+			u.stale = true
+			continue
+		}
+		p := &permit{Permit: a.Permit, request: a.Request, granted: now, tokens: a.Tokens}
+		p.Expires = now.Add(s.cfg.PermitTerm)
+		p.expected = s.cost(&p.request)
+		if p.tokens > 0 {
+			p.started = now
+		}
+		s.add(u, p)
+		// The request ran before: reports that include it must not count it twice.
+		p.granted = s.epochStart
+		u.ghosts = max(u.ghosts-1, 0)
+		u.stale = true
+	}
+	s.changed = true
+}
+
+// settled ends the caution of a new epoch when its time has passed.
+func (s *State) settled(now time.Time) bool {
+	if s.unsettled && !now.Before(s.settleAt) {
+		s.unsettled = false
+	}
+	return !s.unsettled
+}
+
+// headroom returns how many more requests an upstream may receive now.
+func (s *State) headroom(now time.Time, u *upstream) int {
+	if u.leaving || u.removed || u.report.Leaving || now.Before(u.pausedTil) || s.isDown(now, u) {
+		return 0
+	}
+	reserve := Reserve(s.pool.Limits)
+	if s.cfg.Deputy {
+		return s.deputyHeadroom(u, reserve)
+	}
+	if !s.cfg.Reserve {
+		reserve = 0
+	}
+	limit, count := u.tracker.Limit(), u.running()
+	if !s.epochStart.IsZero() && !s.reportedSince(u, s.epochStart) && s.needsReports() {
+		return 0
+	}
+	if !s.settled(now) {
+		limit = min(limit, max(s.pool.Limits.ColdRequests, 1))
+		if s.reportedSince(u, s.epochStart) {
+			count = max(count, u.report.Running+u.grantsSince(u.reportTaken))
+		}
+	}
+	return limit - reserve - count
+}
+
+// needsReports tells whether the upstreams of the pool send load reports.
+func (s *State) needsReports() bool { return s.pool.Kind != entity.KindPlain }
+
+func (s *State) reportedSince(u *upstream, t time.Time) bool {
+	return u.hasReport && !u.reportTaken.Before(t)
+}
+
+// deputyHeadroom keeps the deputy within its reserve. A new deputy grants to a
+// cold upstream only once a report has shown that requests of a previous deputy
+// do not fill the reserve.
+func (s *State) deputyHeadroom(u *upstream, reserve int) int {
+	left := reserve - len(u.permits)
+	if left <= 0 {
+		return 0
+	}
+	if !u.hasReport {
+		if u.proven {
+			return left
+		}
+		return 0
+	}
+	cold := u.report.Cold || u.tracker.Awaiting()
+	if cold && !u.proven {
+		return 0
+	}
+	limit := max(s.pool.Limits.ColdRequests, 1)
+	if !cold {
+		limit = max(s.pool.Limits.MaxRequests, limit)
+	}
+	return min(left, limit-u.report.Running-u.grantsSince(u.reportTaken))
+}
+
+// proveReserve notes a report after which the owner's part can no longer grow into the reserve.
+func (s *State) proveReserve(u *upstream) {
+	if u.reportTaken.Before(s.holdUntil) {
+		return
+	}
+	others := u.report.Running - len(u.permits)
+	if others <= max(s.pool.Limits.ColdRequests, 1)-Reserve(s.pool.Limits) {
+		u.proven = true
+	}
+}
+
+// proveEnded frees slots of cancelled permits when a later report shows fewer
+// running requests than permits that may be among them.
+func (s *State) proveEnded(now time.Time, u *upstream) {
+	cutoff := u.reportTaken.Add(-dispatchMargin)
+	bound := u.report.Running
+	var ended []*permit
+	for _, p := range u.permits {
+		switch {
+		case p.cancelling && p.cancelSince.Before(cutoff):
+			ended = append(ended, p)
+		case p.started.IsZero() || p.started.After(u.reportTaken):
+			bound++
+		}
+	}
+	surplus := len(u.permits) - bound
+	for _, p := range ended[:min(max(surplus, 0), len(ended))] {
+		s.quarantine.Ended(p.request.Fingerprint, u.name)
+		s.drop(now, p)
+	}
+}
+
+// isDown reports whether a lost upstream has not answered yet. Without a report
+// it is tried again after a while.
+func (s *State) isDown(now time.Time, u *upstream) bool {
+	if !u.down {
+		return false
+	}
+	pause := s.cfg.PermitTerm
+	if !s.needsReports() {
+		pause = lostPause
+	}
+	if now.Sub(u.lostAt) >= pause {
+		u.down = false
+		s.changed = true
+	}
+	return u.down
+}
--- /dev/null
+++ b/internal/pool/isolation.go
@@ -0,0 +1,120 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxSuspects bounds the suspected requests that wait to run alone.
+	maxSuspects = 1024
+	// isolationRest is the time for which a pool with a single upstream serves
+	// other requests between two suspects.
+	isolationRest = 5 * time.Second
+)
+
+// isolation reserves one upstream of the pool for suspected requests, which run
+// there alone and one at a time.
+type isolation struct {
+	upstream *upstream
+	running  *permit
+	restTil  time.Time
+}
+
+func (s *State) queueSuspect(r Request) {
+	waiting := 0
+	for i := range s.suspects {
+		if s.suspects[i].Account == r.Account {
+			waiting++
+		}
+	}
+	if len(s.suspects) >= maxSuspects || r.MaxQueued > 0 && waiting >= r.MaxQueued {
+		s.refuse(r.ID, ReasonQueueFull, 0)
+		return
+	}
+	s.suspects = append(s.suspects, r)
+}
+
+// ended notes that a permit is gone.
+func (i *isolation) ended(now time.Time, s *State, p *permit) {
+	if i.running == p {
+		i.running = nil
+		i.restTil = now.Add(isolationRest)
+		i.check(s)
+	}
+}
+
+// check gives the reserved upstream back when no suspect needs it any more.
+func (i *isolation) check(s *State) {
+	if i.upstream == nil || i.running != nil {
+		return
+	}
+	if len(s.suspects) == 0 || i.upstream.removed || i.upstream.leaving {
+		i.upstream = nil
+	}
+}
+
+// expireSuspects refuses suspected requests that waited too long or were condemned meanwhile.
+func (s *State) expireSuspects(now time.Time) {
+	s.suspects = slices.DeleteFunc(s.suspects, func(r Request) bool {
+		if left, refused := s.quarantine.Refused(now, r.Fingerprint); refused {
+			s.refuse(r.ID, ReasonQuarantined, left)
+			return true
+		}
+		if !s.usable(&r) {
+			s.refuse(r.ID, ReasonNoUpstream, 0)
+			return true
+		}
+		if !r.Deadline.IsZero() && now.After(r.Deadline) {
+			s.refuse(r.ID, ReasonDeadline, 0)
+			return true
+		}
+		return false
+	})
+	s.isolation.check(s)
+}
+
+// isolate grants the first suspect once its upstream has become empty. The
+// deputy cannot know that an upstream is empty, so it refuses suspects.
+func (s *State) isolate(now time.Time) {
+	if s.cfg.Deputy {
+		for _, r := range s.suspects {
+			s.refuse(r.ID, ReasonNotAuthority, 0)
+		}
+		s.suspects = nil
+		return
+	}
+	i := &s.isolation
+	if len(s.suspects) == 0 || i.running != nil {
+		return
+	}
+	r := s.suspects[0]
+	if i.upstream == nil || slices.Contains(r.Exclude, i.upstream.name) || i.upstream.report.Leaving {
+		i.upstream = s.reservable(now, &r)
+	}
+	u := i.upstream
+	if u == nil || u.running() > 0 || s.headroom(now, u) <= 0 {
+		return
+	}
+	s.suspects = s.suspects[1:]
+	i.running = s.grant(now, u, &r, true)
+}
+
+// reservable picks the upstream with the fewest running requests.
+func (s *State) reservable(now time.Time, r *Request) *upstream {
+	var best *upstream
+	usable := 0
+	for _, u := range s.upstreams {
+		if u.leaving || u.removed || u.report.Leaving || slices.Contains(r.Exclude, u.name) || s.isDown(now, u) {
+			continue
+		}
+		usable++
+		if best == nil || u.running() < best.running() {
+			best = u
+		}
+	}
+	if usable == 1 && now.Before(s.isolation.restTil) {
+		return nil
+	}
+	return best
+}
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -5,7 +5,36 @@
 // concurrent use; its caller serialises access.
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+)
+
+// Config holds what a State needs from the beginning.
+type Config struct {
+	Pool entity.Pool
+	// Seed varies the spreading of requests between pools.
+	Seed uint64
+	// Reserve leaves the deputy's reserve out of the owner's limits.
+	Reserve bool
+	// Deputy makes the State grant only from the reserve.
+	Deputy bool
+	// PermitTerm is the validity of a permit without progress; 0 means 10 s.
+	PermitTerm time.Duration
+	// MemoryRisk is the accepted probability that an engine's memory is exceeded; 0 means 5%.
+	MemoryRisk float64
+	// MaxQueued bounds the requests that wait in the pool; 0 means 16,384.
+	MaxQueued int
+}
+
+// AdoptedPermit is a running permit that a daemon registers after a change of owner.
+type AdoptedPermit struct {
+	Permit  Permit
+	Request Request
+	// Tokens is the number of output tokens so far.
+	Tokens int
+}
 
 // Request asks for a permit to run one request on some upstream of the pool.
 type Request struct {
@@ -118,3 +147,9 @@
 func (Grant) command()            {}
 func (Refuse) command()           {}
 func (CancelAtUpstream) command() {}
+
+// CacheEvent is a hint that a prompt prefix entered or left an upstream's cache.
+type CacheEvent struct {
+	Prefix  uint64
+	Evicted bool
+}
