--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -42,8 +42,8 @@
 	Self() string
 	// MaySend returns a typed failure when this daemon must not send new work.
 	MaySend(now time.Time) error
-	// MayGrant returns a typed failure when this daemon must not grant permits of the pool.
-	MayGrant(now time.Time, poolName string) error
+	// MayGrant returns a typed failure when this daemon must not grant permits of the pool in the role.
+	MayGrant(now time.Time, poolName string, role Role) error
 }
 
 // Held is a permit in use. Update and Release may be called from any goroutine;
@@ -145,10 +145,18 @@
 	}
 }
 
+// roleOf returns the role of the daemon that granted the permit.
+func roleOf(permitID uint64) Role {
+	if pool.GrantedByDeputy(permitID) {
+		return RoleDeputy
+	}
+	return RoleOwner
+}
+
 // Adopt registers a stream that was started through another host, so that its
 // permit is renewed by this daemon.
 func (c *Client) Adopt(poolName string, running Running) *Held {
-	held := &Held{client: c, pool: poolName, role: RoleOwner, running: running, expires: c.now().Add(Term), started: c.now()}
+	held := &Held{client: c, pool: poolName, role: roleOf(running.Permit.ID), running: running, expires: c.now().Add(Term), started: c.now()}
 	c.mu.Lock()
 	if previous := c.held[running.Permit.ID]; previous != nil {
 		previous.supersede()
--- /dev/null
+++ b/internal/permit/healthchecks.go
@@ -0,0 +1,132 @@
+package permit
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// poller reads the load reports of one upstream. Its fields are guarded by the
+// mutex of its pool.
+type poller struct {
+	address   string
+	cancel    context.CancelFunc
+	report    upstream.Report
+	reachable bool
+	failures  int
+	events    uint64 // last cache event seen
+}
+
+// syncPollers starts and stops pollers to match the configuration. The caller holds the lock.
+func (w *owned) syncPollers() {
+	wanted := map[string]string{}
+	for _, u := range w.conf.Upstreams {
+		wanted[u.Name] = u.Address
+	}
+	for name, p := range w.polls {
+		if wanted[name] != p.address {
+			p.cancel()
+			delete(w.polls, name)
+		}
+	}
+	for name, address := range wanted {
+		if w.polls[name] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(w.ctx)
+		p := &poller{address: address, cancel: cancel, reachable: true}
+		w.polls[name] = p
+		go w.poll(ctx, name, p, w.conf.Kind)
+	}
+}
+
+func (w *owned) poll(ctx context.Context, name string, p *poller, kind entity.UpstreamKind) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		w.pollOnce(ctx, name, p, kind)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *owned) pollOnce(ctx context.Context, name string, p *poller, kind entity.UpstreamKind) {
+	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	startedAt := w.owner.now()
+	var report upstream.Report
+	var cache []upstream.CacheEvent
+	var err error
+	if kind == entity.KindPlain {
+		err = w.owner.plain.Healthy(callCtx, p.address)
+	} else {
+		report, err = w.owner.engine.Load(callCtx, p.address)
+		if err == nil {
+			// Cache events are hints; a failure to read them changes nothing.
+			cache, _ = w.owner.engine.CacheEvents(callCtx, p.address, p.events)
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.pollFailed(name, p, err)
+		return
+	}
+	if !p.reachable {
+		w.owner.events.Record("upstream.reachable", "", "upstream", name, "pool", w.key.pool)
+	}
+	p.reachable, p.failures = true, 0
+	if kind != entity.KindPlain {
+		w.applyReport(startedAt, name, p, report, cache)
+	}
+	w.decide()
+}
+
+func (w *owned) pollFailed(name string, p *poller, err error) {
+	p.failures++
+	if p.failures < lostAfter || !p.reachable {
+		return
+	}
+	p.reachable = false
+	w.owner.log.Info("upstream is unreachable", "upstream", name, "pool", w.key.pool, "error", err.Error())
+	w.owner.events.Record("upstream.lost", "", "upstream", name, "pool", w.key.pool)
+	w.state.Lose(w.owner.now(), name)
+	w.decide()
+}
+
+func (w *owned) applyReport(startedAt time.Time, name string, p *poller, r upstream.Report, cache []upstream.CacheEvent) {
+	now := w.owner.now()
+	if p.report.Incarnation != "" && p.report.Incarnation != r.Incarnation {
+		w.owner.events.Record("upstream.restarted", "", "upstream", name, "incarnation", r.Incarnation)
+	}
+	if r.Leaving && !p.report.Leaving {
+		w.owner.events.Record("upstream.leaving", "", "upstream", name)
+	}
+	p.report = r
+	// The age counts from the start of the read; the lag of the report itself is added.
+	age := now.Sub(startedAt)
+	if lag := startedAt.Sub(r.At); !r.At.IsZero() && lag > 0 {
+		age += lag
+	}
+	w.state.Report(now, pool.Report{
+		Upstream: name, Incarnation: r.Incarnation, Cold: r.Cold, Leaving: r.Leaving,
+		Running: r.Running + r.Waiting, MemoryTokens: r.MemoryTokens, Age: age,
+	})
+	events := make([]pool.CacheEvent, 0, len(cache))
+	for _, e := range cache {
+		p.events = max(p.events, e.Sequence)
+		events = append(events, pool.CacheEvent{Prefix: e.Prefix, Evicted: e.Evicted})
+	}
+	if len(events) > 0 {
+		w.state.CacheEvents(now, name, events...)
+	}
+}
--- a/internal/permit/messages.go
+++ b/internal/permit/messages.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/quarantine"
 )
 
 // The peer methods of this package.
 const (
 	MethodAcquire  = "pool.acquire"
 	MethodProgress = "pool.progress"
-	MethodHandover = "pool.handover"
 	MethodStatus   = "pool.status"
 	MethodSuspect  = "suspect.notify"
 )
@@ -135,10 +135,7 @@
 	Pools []Status `json:"pools"`
 }
 
-// SuspectParams tells all daemons of fingerprints that ran on a lost upstream.
+// SuspectParams tells all daemons about requests suspected of crashing upstreams.
 type SuspectParams struct {
-	Pool         string   `json:"pool"`
-	Upstream     string   `json:"upstream"`
-	Fingerprints []uint64 `json:"fingerprints"`
-	Alone        bool     `json:"alone"`
+	Notices []quarantine.Notice `json:"notices"`
 }
--- /dev/null
+++ b/internal/permit/owner.go
@@ -0,0 +1,199 @@
+package permit
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/quarantine"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+const (
+	// tickInterval is the time between decisions that no event caused.
+	tickInterval = 20 * time.Millisecond
+	// collectTimeout is how long a grant waits for its requester to ask again,
+	// and how long a waiting request is kept without being asked for.
+	collectTimeout = 3 * time.Second
+	// pollInterval is the time between load reports of an upstream.
+	pollInterval = 250 * time.Millisecond
+	pollTimeout  = 500 * time.Millisecond
+	// lostAfter is the number of failed polls in a row after which an upstream is lost.
+	lostAfter     = 3
+	cancelTimeout = time.Second
+)
+
+// Events records the time line. Implementations are safe for concurrent use.
+type Events interface {
+	Record(kind, request string, attributes ...string)
+}
+
+// Owner grants permits for the pools that this daemon owns or is deputy of. Its
+// methods are safe for concurrent use. Run must be running; it stops with its context.
+type Owner struct {
+	members Members
+	engine  upstream.Engine
+	plain   upstream.Plain
+	events  Events
+	log     logr.Logger
+	now     func() time.Time
+	// Notify tells the other daemons about suspected requests. Set before Run.
+	Notify func([]quarantine.Notice)
+	// Reserve leaves room for a deputy; it is off when the cell can only have one member.
+	Reserve bool
+
+	mu    sync.Mutex
+	pools map[digestKey]*owned
+}
+
+// NewOwner returns an Owner without pools; Sync gives it pools.
+func NewOwner(members Members, engine upstream.Engine, plain upstream.Plain, events Events, log logr.Logger) *Owner {
+	return &Owner{
+		members: members, engine: engine, plain: plain, events: events, log: log, now: time.Now,
+		Notify: func([]quarantine.Notice) {}, Reserve: true, pools: map[digestKey]*owned{},
+	}
+}
+
+// Sync takes over pools that the current view gives to this daemon, applies the
+// configuration and drops pools that belong to others now.
+func (o *Owner) Sync(ctx context.Context, conf *entity.Configuration, epoch uint64, hold time.Duration) {
+	wanted := map[digestKey]entity.Pool{}
+	if conf != nil && conf.Text != nil {
+		for _, p := range conf.Text.Pools {
+			for _, role := range []Role{RoleOwner, RoleDeputy} {
+				if name, _, ok := o.members.Holder(p.Name, role); ok && name == o.members.Self() {
+					wanted[digestKey{p.Name, role}] = p
+				}
+			}
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key, own := range o.pools {
+		if _, ok := wanted[key]; !ok {
+			own.stop()
+			delete(o.pools, key)
+			o.events.Record("pool.released", "", "pool", key.pool, "role", string(key.role))
+		}
+	}
+	for key, p := range wanted {
+		out := conf.DataCentresOut[p.DataCentre]
+		if own := o.pools[key]; own != nil {
+			own.configure(p, out)
+			continue
+		}
+		own := o.newOwned(key, p, epoch, hold)
+		own.configure(p, out)
+		o.pools[key] = own
+		own.start(ctx)
+		o.events.Record("pool.owned", "", "pool", key.pool, "role", string(key.role))
+	}
+}
+
+func (o *Owner) lookup(poolName string, role Role) (*owned, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if own := o.pools[digestKey{poolName, role}]; own != nil {
+		return own, nil
+	}
+	return nil, failure.NotRun(failure.NoUpstream, "host %s is not the %s of pool %s", o.members.Self(), role, poolName)
+}
+
+func (o *Owner) all() []*owned {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*owned, 0, len(o.pools))
+	for _, own := range o.pools {
+		out = append(out, own)
+	}
+	slices.SortFunc(out, func(a, b *owned) int { return compareKeys(a.key, b.key) })
+	return out
+}
+
+func compareKeys(a, b digestKey) int {
+	if a.pool != b.pool {
+		if a.pool < b.pool {
+			return -1
+		}
+		return 1
+	}
+	return len(a.role) - len(b.role)
+}
+
+// Run makes decisions each tick until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			for _, own := range o.pools {
+				own.stop()
+			}
+			return
+		case <-ticker.C:
+			for _, own := range o.all() {
+				own.tick()
+			}
+		}
+	}
+}
+
+// Acquire answers a requester.
+func (o *Owner) Acquire(ctx context.Context, p AcquireParams) (AcquireResult, error) {
+	own, err := o.lookup(p.Pool, p.Role)
+	if err != nil {
+		return AcquireResult{}, err
+	}
+	return own.acquire(ctx, p)
+}
+
+// Progress applies a digest.
+func (o *Owner) Progress(_ context.Context, p ProgressParams) (ProgressResult, error) {
+	own, err := o.lookup(p.Pool, p.Role)
+	if err != nil {
+		return ProgressResult{}, err
+	}
+	return own.progress(p), nil
+}
+
+// Suspect applies another daemon's notices to every pool.
+func (o *Owner) Suspect(notices []quarantine.Notice) {
+	for _, own := range o.all() {
+		own.notify(notices)
+	}
+}
+
+// Status returns the state of the pools that this daemon owns.
+func (o *Owner) Status() StatusResult {
+	var result StatusResult
+	for _, own := range o.all() {
+		if own.key.role == RoleOwner {
+			result.Pools = append(result.Pools, own.status())
+		}
+	}
+	return result
+}
+
+func (o *Owner) newOwned(key digestKey, p entity.Pool, epoch uint64, hold time.Duration) *owned {
+	now := o.now()
+	deputy := key.role == RoleDeputy
+	state := pool.New(pool.Config{
+		Pool: p, Seed: xxhash.Sum64String(key.pool), Reserve: o.Reserve, Deputy: deputy, PermitTerm: Term,
+	})
+	state.SetNextPermitID(pool.PermitIDBase(epoch, deputy))
+	state.HoldUntil(now, now.Add(hold))
+	return &owned{
+		owner: o, key: key, conf: p, state: state, firstID: pool.PermitIDBase(epoch, deputy),
+		waiters: map[string]*waiter{}, holders: map[uint64]*holderOf{}, polls: map[string]*poller{},
+	}
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -99,6 +99,9 @@
 	return base<<counterBits + 1
 }
 
+// GrantedByDeputy reports whether a deputy granted the permit.
+func GrantedByDeputy(permitID uint64) bool { return permitID>>counterBits&1 == 1 }
+
 // SetNextPermitID sets the identifier of the next permit; see PermitIDBase.
 func (s *State) SetNextPermitID(id uint64) { s.nextID = id }
 
