Test the relay against stand-in engines

An idle stand-in reported the instant of its last change as the time of its report, so an owner that waits for a report of the new epoch never granted. The report now carries the instant one lag before the read.

--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,312 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/permit"
+	"github.com/rattanscale/rattanscale/internal/standin"
+	"github.com/rattanscale/rattanscale/internal/stream"
+	"github.com/rattanscale/rattanscale/internal/upstream/engine"
+)
+
+// soleMember is a cell of one daemon that may do everything.
+type soleMember struct{}
+
+func (soleMember) Holder(string, permit.Role) (string, string, bool) { return "h1", "peer", true }
+func (soleMember) Self() string                                      { return "h1" }
+func (soleMember) MaySend(time.Time) error                           { return nil }
+func (soleMember) MayGrant(time.Time, string, permit.Role) error     { return nil }
+
+// localCaller calls the owner in the same process.
+type localCaller struct{ owner *permit.Owner }
+
+func (c *localCaller) Call(ctx context.Context, _, method string, params, result any) error {
+	switch method {
+	case permit.MethodAcquire:
+		out, err := c.owner.Acquire(ctx, params.(permit.AcquireParams))
+		*result.(*permit.AcquireResult) = out
+		return err
+	case permit.MethodProgress:
+		out, err := c.owner.Progress(ctx, *params.(*permit.ProgressParams))
+		*result.(*permit.ProgressResult) = out
+		return err
+	}
+	return fmt.Errorf("no method %s", method)
+}
+
+// eventLog keeps the kinds of recorded events.
+type eventLog struct {
+	mu    sync.Mutex
+	kinds []string
+}
+
+func (l *eventLog) Record(kind, _ string, _ ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kinds = append(l.kinds, kind)
+}
+
+func (l *eventLog) has(kind string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return false
+}
+
+type noStatus struct{}
+
+func (noStatus) Status(string) (permit.Status, bool) { return permit.Status{}, false }
+
+// fixture is one relay before stand-in engines.
+type fixture struct {
+	relay   *Relay
+	engines []*standin.Engine
+	events  *eventLog
+	service entity.Service
+	account entity.ClientAccount
+}
+
+func newFixture(t *testing.T, engines int, delivery entity.Delivery) *fixture {
+	t.Helper()
+	f := &fixture{events: &eventLog{}}
+	p := entity.Pool{Name: "p", Kind: entity.KindEngine, DataCentre: "praha-1", Limits: entity.Limits{ColdRequests: 4, MaxRequests: 16, MemoryTokens: 65536, TargetStep: 62 * time.Millisecond}}
+	for i := range engines {
+		settings := standin.DefaultEngineSettings()
+		settings.BaseStep, settings.ReportLag = time.Millisecond, 0
+		e := standin.NewEngine(settings)
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(func() { e.Close(); server.CloseClientConnections(); server.Close() })
+		f.engines = append(f.engines, e)
+		p.Upstreams = append(p.Upstreams, entity.Upstream{Name: fmt.Sprintf("e%d", i+1), Address: strings.TrimPrefix(server.URL, "http://"), Pool: "p"})
+	}
+	f.service = entity.Service{
+		Name: "narration", Delivery: delivery, Repeatable: true, Priority: 5, Deadline: 30 * time.Second,
+		Versions: []entity.Version{{Name: "v1", Model: "m", Pools: []string{"p"}, Share: 100}},
+	}
+	f.account = entity.ClientAccount{Name: "guides", Share: 1, MaxQueued: 100}
+	conf := &entity.Configuration{Revision: 1, Text: &entity.ServiceText{
+		DataCentres: []string{"praha-1"}, Pools: []entity.Pool{p}, Services: []entity.Service{f.service}, Accounts: []entity.ClientAccount{f.account},
+	}}
+	adapter := engine.New(engine.Settings{TokenTimeout: time.Second})
+	owner := permit.NewOwner(soleMember{}, adapter, nil, f.events, logr.Discard())
+	owner.Reserve = false
+	client := permit.NewClient(&localCaller{owner}, soleMember{}, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	owner.Sync(ctx, conf, 1, 0)
+	loops.Go(func() { owner.Run(ctx) })
+	loops.Go(func() { client.Run(ctx) })
+	t.Cleanup(func() { cancel(); loops.Wait() })
+	f.relay = &Relay{
+		Engine: adapter, Permits: client, Config: func() *entity.Configuration { return conf }, Pools: noStatus{},
+		Signer: stream.NewSigner("0123456789abcdef"), Events: f.events, Log: logr.Discard(), DataCentre: "praha-1",
+		OtherHosts: func() []string { return nil }, Handover: make(chan struct{}), MaxWholeBytes: 1 << 20,
+	}
+	return f
+}
+
+func (f *fixture) call(id, prompt string) *Call {
+	return &Call{RequestID: id, Account: f.account, Service: f.service, Prompt: prompt, Body: []byte(prompt)}
+}
+
+// answer is what a caller collected from a stream.
+type answer struct {
+	events []string
+	tokens []stream.EventID
+	texts  []string
+	data   string
+}
+
+func parse(t *testing.T, body string) answer {
+	t.Helper()
+	var a answer
+	var id string
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		line := scanner.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			id = line[4:]
+		case strings.HasPrefix(line, "event: "):
+			a.events = append(a.events, line[7:])
+		case strings.HasPrefix(line, "data: ") && id != "":
+			parsed, err := stream.ParseEventID(id)
+			require.NoError(t, err)
+			a.tokens = append(a.tokens, parsed)
+			a.texts = append(a.texts, line[6:])
+			id = ""
+		case strings.HasPrefix(line, "data: "):
+			a.data = line[6:]
+		}
+	}
+	return a
+}
+
+// requireComplete checks that the tokens are those of one generation, once each and in order.
+func requireComplete(t *testing.T, a answer, count int) {
+	t.Helper()
+	require.Equal(t, stream.EventDone, a.events[len(a.events)-1], a.data)
+	require.Len(t, a.tokens, count)
+	for i, id := range a.tokens {
+		require.Equal(t, a.tokens[0].Generation, id.Generation)
+		require.Equal(t, i, id.Offset)
+	}
+}
+
+// onToken is a response that calls a function after the given number of token events.
+type onToken struct {
+	*httptest.ResponseRecorder
+	after int
+	do    func()
+}
+
+func (w *onToken) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), "event: token") {
+		if w.after--; w.after == 0 {
+			w.do()
+		}
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
+func (f *fixture) run(t *testing.T, call *Call, after int, do func()) (answer, error) {
+	t.Helper()
+	w := &onToken{ResponseRecorder: httptest.NewRecorder(), after: after, do: do}
+	err := f.relay.Generate(t.Context(), call, stream.NewWriter(w, 0))
+	return parse(t, w.Body.String()), err
+}
+
+func (f *fixture) fault(kind standin.FaultKind) {
+	for _, e := range f.engines {
+		e.SetFault(standin.Fault{Kind: kind})
+	}
+}
+
+// Guards against a cut link between daemon and engine that loses or repeats tokens.
+func TestCutLinkResumesAtTheNextToken(t *testing.T) {
+	f := newFixture(t, 1, entity.DeliverError)
+	a, err := f.run(t, f.call("r1", "tokens=200"), 20, func() { f.fault(standin.FaultReset) })
+	require.NoError(t, err)
+	requireComplete(t, a, 200)
+	require.True(t, f.events.has("stream.resumed"))
+}
+
+// Guards against joining tokens of two generations after an engine was lost: the
+// earlier tokens are voided by an explicit event.
+func TestLostEngineRestartsWithAnExplicitEvent(t *testing.T) {
+	f := newFixture(t, 2, entity.DeliverRestart)
+	call := f.call("r1", "tokens=100")
+	call.AcceptRestart = true
+	a, err := f.run(t, call, 20, func() { f.fault(standin.FaultColdRestart) })
+	require.NoError(t, err)
+	at := -1
+	for i, e := range a.events {
+		if e == stream.EventRestart {
+			at = i
+		}
+	}
+	require.Positive(t, at)
+	require.Equal(t, stream.EventStart, a.events[at+1])
+	second := a.tokens[at-1:] // one start event stands before the first tokens
+	require.NotEqual(t, a.tokens[0].Generation, second[0].Generation)
+	requireComplete(t, answer{events: a.events, tokens: second, data: a.data}, 100)
+}
+
+// Guards against a silent mixture for callers that do not know the restart event.
+func TestLostEngineIsATypedErrorForOtherCallers(t *testing.T) {
+	f := newFixture(t, 2, entity.DeliverRestart)
+	a, err := f.run(t, f.call("r1", "tokens=100"), 20, func() { f.fault(standin.FaultColdRestart) })
+	require.NoError(t, err)
+	require.Equal(t, stream.EventError, a.events[len(a.events)-1])
+	require.Contains(t, a.data, "generation-lost")
+}
+
+// Guards against a whole answer that shows the loss of its first engine.
+func TestWholeAnswerHidesALostEngine(t *testing.T) {
+	f := newFixture(t, 2, entity.DeliverWhole)
+	lost := make(chan struct{})
+	go func() {
+		defer close(lost)
+		for !f.events.has("token.first") {
+			time.Sleep(time.Millisecond)
+		}
+		f.fault(standin.FaultColdRestart)
+	}()
+	a, err := f.run(t, f.call("r1", "tokens=300"), 0, func() {})
+	<-lost
+	require.NoError(t, err)
+	require.Equal(t, stream.EventStart, a.events[0])
+	requireComplete(t, a, 300)
+}
+
+// Guards against a caller whose link was cut and who cannot continue elsewhere.
+func TestCallerResumesWithItsToken(t *testing.T) {
+	f := newFixture(t, 1, entity.DeliverError)
+	ctx, cut := context.WithCancel(t.Context())
+	w := &onToken{ResponseRecorder: httptest.NewRecorder(), after: 30, do: cut}
+	require.NoError(t, f.relay.Generate(ctx, f.call("r1", "tokens=200"), stream.NewWriter(w, 0)))
+	first := parse(t, w.Body.String())
+	require.Len(t, first.tokens, 30)
+
+	var start stream.StartData
+	decode(t, first.data, &start)
+	token, err := f.relay.Signer.Verify(start.ResumeToken, "guides")
+	require.NoError(t, err)
+	rest := httptest.NewRecorder()
+	call := &Call{RequestID: "r1", Account: f.account, Service: f.service}
+	require.NoError(t, f.relay.Resume(t.Context(), token, 30, call, stream.NewWriter(rest, 0)))
+	second := parse(t, rest.Body.String())
+	second.tokens = append(first.tokens, second.tokens...)
+	requireComplete(t, second, 200)
+}
+
+// Guards against a stop that cuts long streams: they move with a resume token.
+func TestHandoverGivesAResumeToken(t *testing.T) {
+	f := newFixture(t, 1, entity.DeliverError)
+	handover := make(chan struct{})
+	f.relay.Handover = handover
+	f.relay.OtherHosts = func() []string { return []string{"127.0.0.1:9"} }
+	a, err := f.run(t, f.call("r1", "tokens=200"), 10, func() { close(handover) })
+	require.NoError(t, err)
+	require.Equal(t, stream.EventHandover, a.events[len(a.events)-1])
+	var data stream.HandoverData
+	decode(t, a.data, &data)
+	require.Equal(t, []string{"127.0.0.1:9"}, data.Hosts)
+	token, err := f.relay.Signer.Verify(data.ResumeToken, "guides")
+	require.NoError(t, err)
+	require.Equal(t, 10, token.Offset)
+}
+
+// Guards against work that runs on for a caller who is gone.
+func TestCallerThatLeavesIsCancelledAtTheEngine(t *testing.T) {
+	f := newFixture(t, 1, entity.DeliverError)
+	ctx, leave := context.WithCancel(t.Context())
+	w := &onToken{ResponseRecorder: httptest.NewRecorder(), after: 5, do: leave}
+	require.NoError(t, f.relay.Generate(ctx, f.call("r1", "tokens=100000"), stream.NewWriter(w, 0)))
+	require.Eventually(t, func() bool { return f.engines[0].Stats().Running == 0 }, 10*time.Second, 10*time.Millisecond)
+}
+
+var _ http.ResponseWriter = (*onToken)(nil)
+
+func decode(t *testing.T, text string, into any) {
+	t.Helper()
+	require.NoError(t, json.Unmarshal([]byte(text), into))
+}
--- a/internal/standin/enginestep.go
+++ b/internal/standin/enginestep.go
@@ -182,8 +182,14 @@
 func (e *Engine) report() upstream.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.trimHistory(time.Now())
-	return e.history[0]
+	now := time.Now()
+	e.trimHistory(now)
+	report := e.history[0]
+	// The state has not changed since it was recorded, so it describes the instant one lag ago.
+	if visible := now.Add(-e.settings.ReportLag); visible.After(report.At) {
+		report.At = visible
+	}
+	return report
 }
 
 // loadModel makes the model available after the load time, unless the engine
