Add the membership tracker

The tracker derives from store reads and answered calls whether a daemon may send, commit and grant. Views carry the changes that lead back to earlier views that may still be used, so that a new owner waits for a strict majority of each of them and then for 3 s. The head revision at the time of a view's writing is part of the view: a daemon that holds the view but not the revision does not continue by the majority rule.

--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,58 @@
+package membership
+
+import (
+	"encoding/hex"
+	"time"
+)
+
+// Heartbeat is the state that a daemon tells another one, in the request as well
+// as in the answer of the call member.heartbeat. The keys are short because each
+// pair of members exchanges it four times a second in each direction.
+type Heartbeat struct {
+	Identity
+	Revision uint64 `json:"r,omitempty"`
+	Epoch    uint64 `json:"e,omitempty"`
+	// View is set in an answer when the caller's epoch is lower.
+	View *View `json:"v,omitempty"`
+	// StoreAge is the age in milliseconds, rounded up, of the sender's latest
+	// direct read of the table service; 0 means that there was none.
+	StoreAge int64 `json:"a,omitempty"`
+	// Head is the head revision that this read returned.
+	Head uint64 `json:"k,omitempty"`
+	// Heard has one bit for each member of the view of Epoch in order of name,
+	// in hexadecimal: set when the sender heard the member within Validity.
+	Heard    string `json:"h,omitempty"`
+	Draining bool   `json:"d,omitempty"`
+	Ready    bool   `json:"y,omitempty"`
+	Streams  int    `json:"s,omitempty"`
+}
+
+// farEpoch tells Heartbeat that the other daemon needs no view.
+const farEpoch = ^uint64(0)
+
+// storeAge returns the age of the sender's contact with the store.
+func (h Heartbeat) storeAge() time.Duration { return time.Duration(h.StoreAge) * time.Millisecond }
+
+// ageMillis rounds up and never returns 0, which means "no contact".
+func ageMillis(age time.Duration) int64 {
+	return max(int64((age+time.Millisecond-1)/time.Millisecond), 1)
+}
+
+func encodeHeard(n int, heard func(i int) bool) string {
+	bits := make([]byte, (n+7)/8)
+	for i := range n {
+		if heard(i) {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return hex.EncodeToString(bits)
+}
+
+// decodeHeard returns false as second result when the text does not describe n members.
+func decodeHeard(text string, n int) (func(i int) bool, bool) {
+	bits, err := hex.DecodeString(text)
+	if err != nil || len(bits) != (n+7)/8 {
+		return nil, false
+	}
+	return func(i int) bool { return bits[i/8]&(1<<(i%8)) != 0 }, true
+}
--- /dev/null
+++ b/internal/membership/model_test.go
@@ -0,0 +1,270 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// model drives trackers through random interleavings of store reads, calls,
+// pauses, cut links, view changes and commits on virtual time.
+type model struct {
+	now      time.Time
+	view     View // the row in the store
+	head     uint64
+	nodes    []*modelNode
+	accepted []acceptedChange
+	cut      map[[2]int]bool
+	runs     uint64
+}
+
+type modelNode struct {
+	index    int
+	tracker  *Tracker
+	stopped  bool // left: neither answers nor grants
+	paused   bool
+	storeOut bool
+	pending  []func()
+	commits  map[uint64]map[string]bool // acknowledgements of the node's own commits
+}
+
+type acceptedChange struct {
+	revision uint64
+	at       time.Time
+}
+
+var modelPools = []string{"p0", "p1", "p2", "p3"}
+
+func (m *model) start(i int) {
+	m.runs++
+	name := fmt.Sprintf("h%d", i)
+	m.nodes[i] = &modelNode{
+		index: i, tracker: NewTracker("cell", Identity{name, m.runs}, m.now), commits: map[uint64]map[string]bool{},
+	}
+}
+
+func (m *model) link(from, to int) bool { return !m.cut[[2]int{from, to}] }
+
+// writeView commits a view change; it is atomic, so the floor is the head.
+func (m *model) writeView(n *modelNode, next View) {
+	oldest := n.tracker.Prunable(m.now)
+	if n.tracker.Snapshot().View.Epoch == m.view.Epoch {
+		next = next.prune(oldest)
+	}
+	next.Floor = m.head
+	m.view = next
+}
+
+func (m *model) actions(t *rapid.T) map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) *modelNode { return m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")] }
+	active := func(t *rapid.T) *modelNode {
+		n := pick(t)
+		if n.paused || n.stopped {
+			t.Skip()
+		}
+		return n
+	}
+	call := func(a, b *modelNode) {
+		if !m.link(a.index, b.index) || b.paused || b.stopped {
+			return
+		}
+		sent, request := m.now, a.tracker.Heartbeat(m.now, farEpoch)
+		serve := func() {
+			b.tracker.ObserveRequest(m.now, request)
+			answer := b.tracker.Heartbeat(m.now, request.Epoch)
+			if m.link(b.index, a.index) {
+				a.pending = append(a.pending, func() { a.tracker.ObserveHeartbeat(m.now, sent, answer) })
+			}
+		}
+		b.pending = append(b.pending, serve)
+	}
+	drain := func(n *modelNode) {
+		for len(n.pending) > 0 && !n.paused && !n.stopped {
+			f := n.pending[0]
+			n.pending = n.pending[1:]
+			f()
+		}
+	}
+	return map[string]func(*rapid.T){
+		"advance": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+		},
+		"read": func(t *rapid.T) {
+			n := active(t)
+			if n.storeOut {
+				return
+			}
+			started, view, head := m.now, m.view, m.head
+			n.pending = append(n.pending, func() { n.tracker.ObserveStoreRead(m.now, started, view, head) })
+		},
+		"call": func(t *rapid.T) {
+			a, b := active(t), pick(t)
+			if a != b {
+				call(a, b)
+			}
+		},
+		// A complete round of calls, which makes outage mode likely enough to matter.
+		"round": func(t *rapid.T) {
+			for _, a := range m.nodes {
+				for _, b := range m.nodes {
+					if a != b && !a.paused && !a.stopped {
+						call(a, b)
+					}
+				}
+			}
+			for range 2 {
+				for _, n := range m.nodes {
+					drain(n)
+				}
+			}
+		},
+		"deliver": func(t *rapid.T) {
+			n := active(t)
+			if len(n.pending) > 0 {
+				i := rapid.IntRange(0, len(n.pending)-1).Draw(t, "message")
+				f := n.pending[i]
+				n.pending = append(n.pending[:i:i], n.pending[i+1:]...)
+				f()
+			}
+		},
+		"pull": func(t *rapid.T) {
+			n, from := active(t), pick(t)
+			switch {
+			case !n.storeOut:
+				n.tracker.SetApplied(m.now, m.head)
+			case !from.paused && !from.stopped && m.link(n.index, from.index) && m.link(from.index, n.index):
+				n.tracker.SetApplied(m.now, from.tracker.Snapshot().Revision)
+			}
+		},
+		"pause": func(t *rapid.T) { n := pick(t); n.paused = !n.paused },
+		"cut": func(t *rapid.T) {
+			key := [2]int{pick(t).index, pick(t).index}
+			m.cut[key] = !m.cut[key]
+		},
+		"store": func(t *rapid.T) { n := pick(t); n.storeOut = !n.storeOut },
+		"storeAll": func(t *rapid.T) {
+			out := rapid.Bool().Draw(t, "out")
+			for _, n := range m.nodes {
+				n.storeOut = out
+			}
+		},
+		"join": func(t *rapid.T) {
+			n := active(t)
+			self := n.tracker.Snapshot().Self
+			if n.storeOut || m.view.Has(self) || len(m.view.Changes) > 24 {
+				return
+			}
+			m.writeView(n, m.view.Join(Member{Identity: self}))
+		},
+		"remove": func(t *rapid.T) {
+			n, target := active(t), pick(t)
+			victim, ok := m.view.Member(target.tracker.Snapshot().Self.Name)
+			if !n.storeOut && ok && len(m.view.Members) > 1 && len(m.view.Changes) <= 24 {
+				m.writeView(n, m.view.Remove(false, victim.Identity))
+			}
+		},
+		"leave": func(t *rapid.T) {
+			n := active(t)
+			self := n.tracker.Snapshot().Self
+			if !n.storeOut && m.view.Has(self) && len(m.view.Changes) <= 24 {
+				n.stopped, n.pending = true, nil
+				m.writeView(n, m.view.Remove(true, self))
+			}
+		},
+		"rejoin": func(t *rapid.T) {
+			if n := active(t); n.tracker.Snapshot().View.Epoch == m.view.Epoch && !m.view.Has(n.tracker.Snapshot().Self) {
+				m.runs++
+				n.tracker.SetIncarnation(m.now, m.runs)
+			}
+		},
+		"restart": func(t *rapid.T) { m.start(pick(t).index) },
+		"startInOutage": func(t *rapid.T) {
+			active(t).tracker.ReadyByMajority(m.now)
+		},
+		"handover": func(t *rapid.T) {
+			from, to := active(t), active(t)
+			s := from.tracker.Snapshot()
+			for _, pool := range modelPools {
+				if owner, ok := s.Owner(pool); ok && owner.Name != s.Self.Name && m.link(from.index, to.index) {
+					to.pending = append(to.pending, func() { to.tracker.ObserveHandover(m.now, pool, s.Self, s.View.Epoch) })
+				}
+			}
+		},
+		"commit": func(t *rapid.T) {
+			n := active(t)
+			s := n.tracker.Snapshot()
+			// The transaction is guarded by the version of the view row.
+			if n.storeOut || s.MayCommit(m.now) != nil || s.View.Epoch != m.view.Epoch {
+				return
+			}
+			m.head++
+			revision := m.head
+			n.tracker.SetApplied(m.now, revision)
+			n.commits[revision] = map[string]bool{}
+			for _, other := range m.nodes {
+				if other != n && m.link(n.index, other.index) && m.link(other.index, n.index) {
+					other.pending = append(other.pending, func() {
+						other.tracker.SetApplied(m.now, revision)
+						if acks := n.commits[revision]; acks != nil {
+							acks[other.tracker.Snapshot().Self.Name] = true
+						}
+					})
+				}
+			}
+		},
+		"": m.check,
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	for _, n := range m.nodes {
+		for revision, acks := range n.commits {
+			if n.tracker.Snapshot().Majority(m.now, acks) {
+				m.accepted = append(m.accepted, acceptedChange{revision, m.now})
+				delete(n.commits, revision)
+			}
+		}
+	}
+	for _, pool := range modelPools {
+		owners, deputies := 0, 0
+		for _, n := range m.nodes {
+			s := n.tracker.Snapshot()
+			if !n.stopped && s.MayGrant(m.now, pool) == nil {
+				owners++
+			}
+			if !n.stopped && s.MayGrantReserve(m.now, pool) == nil {
+				deputies++
+			}
+		}
+		if owners > 1 || deputies > 1 {
+			t.Fatalf("pool %s: %d daemons grant the owner's part and %d the reserve", pool, owners, deputies)
+		}
+	}
+	for _, n := range m.nodes {
+		s := n.tracker.Snapshot()
+		for _, a := range m.accepted {
+			if s.Revision < a.revision && m.now.Sub(a.at) >= Validity && s.MaySend(m.now) == nil {
+				t.Fatalf("%s sends by revision %d although %d was accepted %v ago", s.Self.Name, s.Revision, a.revision, m.now.Sub(a.at))
+			}
+		}
+	}
+}
+
+// Guards against two granters of one pool and against new work by a revision that
+// an accepted change has replaced, under any interleaving of faults.
+func TestGrantsAreExclusiveAndAcceptedChangesAreObeyed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "nodes")
+		m := &model{now: time.Unix(1_700_000_000, 0), nodes: make([]*modelNode, n), cut: map[[2]int]bool{}}
+		for i := range n {
+			m.start(i)
+			m.view = m.view.Join(Member{Identity: m.nodes[i].tracker.Snapshot().Self})
+		}
+		for _, node := range m.nodes {
+			node.tracker.ObserveStoreRead(m.now, m.now, m.view, m.head)
+		}
+		t.Repeat(m.actions(t))
+	})
+}
--- /dev/null
+++ b/internal/membership/tracker_test.go
@@ -0,0 +1,315 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+)
+
+const ms = time.Millisecond
+
+// cluster is a set of trackers that hold one view, on virtual time.
+type cluster struct {
+	now      time.Time
+	view     View
+	head     uint64
+	trackers []*Tracker
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{now: time.Unix(1_700_000_000, 0)}
+	for i := range n {
+		id := Identity{fmt.Sprintf("h%02d", i), uint64(i + 1)}
+		c.view = c.view.Join(Member{Identity: id, PeerAddress: fmt.Sprintf("127.0.0.1:%d", 9000+i), DataCentre: "praha-1"})
+		c.trackers = append(c.trackers, NewTracker("cell", id, c.now))
+	}
+	c.view.Changes = nil
+	c.read(c.trackers...)
+	return c
+}
+
+func (c *cluster) read(trackers ...*Tracker) {
+	for _, t := range trackers {
+		t.ObserveStoreRead(c.now, c.now, c.view, c.head)
+	}
+}
+
+// call lets a call b; the answer is lost when answered is false.
+func (c *cluster) call(a, b *Tracker, answered bool) {
+	request := a.Heartbeat(c.now, farEpoch)
+	b.ObserveRequest(c.now, request)
+	if answer := b.Heartbeat(c.now, request.Epoch); answered {
+		a.ObserveHeartbeat(c.now, c.now, answer)
+	}
+}
+
+func (c *cluster) round(trackers ...*Tracker) {
+	for _, a := range trackers {
+		for _, b := range trackers {
+			if a != b {
+				c.call(a, b, true)
+			}
+		}
+	}
+}
+
+// advance moves time in steps of 500 ms and calls f at each.
+func (c *cluster) advance(d time.Duration, f func()) {
+	for range d / (500 * ms) {
+		c.now = c.now.Add(500 * ms)
+		for _, t := range c.trackers {
+			t.Tick(c.now)
+		}
+		f()
+	}
+}
+
+// Guards against a daemon that is cut off from everything and goes on sending to a
+// data centre that operators have taken out.
+func TestIsolatedDaemonStopsSendingWithinBound(t *testing.T) {
+	c := newCluster(3)
+	cutOff := c.trackers[0]
+	require.NoError(t, cutOff.Snapshot().MaySend(c.now))
+	start := c.now
+	c.head = 1 // the data centre is taken out right after the last confirmation
+	c.trackers[1].SetApplied(c.now, 1)
+	last := start
+	for c.now.Sub(start) < 5*time.Second {
+		c.now = c.now.Add(50 * ms)
+		c.read(c.trackers[1:]...)
+		if cutOff.Snapshot().MaySend(c.now) == nil {
+			last = c.now
+		}
+	}
+	assert.LessOrEqual(t, last.Add(DispatchTimeout).Sub(start), 3500*ms)
+	err := cutOff.Snapshot().MaySend(c.now)
+	assert.True(t, failure.Is(err, failure.Isolated))
+	assert.True(t, failure.From(err).NotRun())
+}
+
+// Guards against a resumed process that takes answers buffered during its pause for fresh ones.
+func TestPausedDaemonFindsItsLeaseExpired(t *testing.T) {
+	c := newCluster(3)
+	paused, other := c.trackers[0], c.trackers[1]
+	pool := ownedPool(t, paused)
+	require.NoError(t, paused.Snapshot().MayGrant(c.now, pool))
+	sent := c.now
+	answer := other.Heartbeat(c.now, farEpoch)
+	c.now = c.now.Add(4 * time.Second) // SIGSTOP, then SIGCONT
+	assert.Error(t, paused.Snapshot().MayGrant(c.now, pool))
+	paused.ObserveHeartbeat(c.now, sent, answer)
+	paused.ObserveStoreRead(c.now, sent, c.view, 0)
+	paused.ObserveRequest(c.now, answer)
+	assert.Error(t, paused.Snapshot().MayGrant(c.now, pool))
+	assert.Error(t, paused.Snapshot().MaySend(c.now))
+	c.read(paused)
+	assert.NoError(t, paused.Snapshot().MayGrant(c.now, pool))
+}
+
+func ownedPool(t *testing.T, tracker *Tracker) string {
+	t.Helper()
+	for i := range 1000 {
+		pool := fmt.Sprintf("pool-%d", i)
+		if owner, _ := tracker.Snapshot().Owner(pool); owner.Name == tracker.Snapshot().Self.Name {
+			return pool
+		}
+	}
+	t.Fatal("no pool hashes to the daemon")
+	return ""
+}
+
+// Guards against a stop of service when the store is out, and against service by a minority.
+func TestStoreOutage(t *testing.T) {
+	c := newCluster(5)
+	majority, minority := c.trackers[:3], c.trackers[3:]
+	c.advance(4*time.Second, func() { c.round(majority...); c.round(minority...) })
+	for _, tr := range majority {
+		assert.NoError(t, tr.Snapshot().MaySend(c.now))
+		assert.NoError(t, tr.Snapshot().MayGrant(c.now, ownedPool(t, tr)))
+		assert.True(t, failure.Is(tr.Snapshot().MayCommit(c.now), failure.StoreUnavailable), "no change without the store")
+	}
+	for _, tr := range minority {
+		assert.True(t, failure.Is(tr.Snapshot().MaySend(c.now), failure.Isolated))
+		assert.Error(t, tr.Snapshot().MayGrant(c.now, ownedPool(t, tr)))
+	}
+}
+
+// Guards against a gap in service between the store's last confirmation and outage mode.
+func TestNoGapWhenTheStoreGoesOut(t *testing.T) {
+	c := newCluster(3)
+	for range 100 {
+		c.now = c.now.Add(50 * ms)
+		c.round(c.trackers...)
+		for _, tr := range c.trackers {
+			require.NoError(t, tr.Snapshot().MaySend(c.now))
+		}
+	}
+}
+
+// Guards against outage mode by an old revision when a member of the majority holds a newer one.
+func TestOutageModeLearnsOfANewerRevision(t *testing.T) {
+	c := newCluster(3)
+	c.trackers[2].SetApplied(c.now, 7)
+	c.advance(4*time.Second, func() { c.round(c.trackers...) })
+	assert.Error(t, c.trackers[0].Snapshot().MaySend(c.now))
+	assert.Equal(t, uint64(7), c.trackers[0].Snapshot().KnownHead)
+	c.trackers[0].SetApplied(c.now, 7)
+	assert.NoError(t, c.trackers[0].Snapshot().MaySend(c.now))
+}
+
+// Guards against an operator's change that a minority with store contact accepts.
+func TestCommitNeedsStoreAndMajority(t *testing.T) {
+	c := newCluster(3)
+	c.round(c.trackers...)
+	assert.NoError(t, c.trackers[0].Snapshot().MayCommit(c.now))
+	c.advance(4*time.Second, func() { c.read(c.trackers[0]) })
+	assert.True(t, failure.Is(c.trackers[0].Snapshot().MayCommit(c.now), failure.Isolated))
+	c.call(c.trackers[0], c.trackers[1], true)
+	assert.NoError(t, c.trackers[0].Snapshot().MayCommit(c.now))
+}
+
+// Guards against removal of a member because one link is cut in one direction.
+func TestOneWayCutRemovesNobody(t *testing.T) {
+	c := newCluster(3)
+	a, b, d := c.trackers[0], c.trackers[1], c.trackers[2]
+	c.advance(10*time.Second, func() {
+		c.call(a, b, false) // answers of b never reach a
+		c.call(a, d, true)
+		c.call(d, a, true)
+		c.call(d, b, true)
+		c.call(b, d, true)
+	})
+	for _, tr := range c.trackers {
+		assert.Empty(t, tr.ToRemove(c.now))
+	}
+}
+
+// Guards against a dead member that stays in the view, and against the removal of
+// others by a process that was itself paused.
+func TestRemovalNeedsAMajority(t *testing.T) {
+	c := newCluster(3)
+	a, b, dead := c.trackers[0], c.trackers[1], c.trackers[2].Snapshot().Self
+	c.advance(6500*ms, func() { c.round(a, b) })
+	assert.Equal(t, []Identity{dead}, a.ToRemove(c.now))
+
+	c = newCluster(3)
+	c.advance(4*time.Second, func() { c.round(c.trackers...) })
+	c.now = c.now.Add(time.Minute)
+	c.trackers[0].Tick(c.now)
+	c.round(c.trackers[0], c.trackers[1])
+	assert.Empty(t, c.trackers[0].ToRemove(c.now), "all processes were paused")
+}
+
+// Guards against grants by a new owner while the old owner's lease may be valid.
+func TestNewOwnerWaits(t *testing.T) {
+	c := newCluster(2)
+	joiner := NewTracker("cell", Identity{"h02", 9}, c.now)
+	c.view = c.view.Join(Member{Identity: joiner.Snapshot().Self})
+	c.trackers = append(c.trackers, joiner)
+	c.read(joiner)
+	pool := ownedPool(t, joiner)
+	c.advance(4*time.Second, func() { c.read(joiner) })
+	assert.Error(t, joiner.Snapshot().MayGrant(c.now, pool), "no majority of the earlier view has moved on")
+
+	previous, _ := newRanking(c.view.identities()[:2]).at(pool, 0)
+	joiner.ObserveHandover(c.now, pool, previous, 3)
+	assert.NoError(t, joiner.Snapshot().MayGrant(c.now, pool), "the previous owner handed over")
+
+	other := ""
+	for i := range 1000 {
+		p := fmt.Sprintf("other-%d", i)
+		if owner, _ := joiner.Snapshot().Owner(p); owner.Name == "h02" {
+			other = p
+			break
+		}
+	}
+	settled := c.now
+	c.advance(4*time.Second, func() {
+		c.read(c.trackers...)
+		c.round(c.trackers...)
+		if joiner.Snapshot().MayGrant(c.now, other) != nil {
+			settled = c.now
+		}
+	})
+	assert.Equal(t, 3*time.Second, settled.Sub(c.now)+4*time.Second, "grants begin 3 s after the majority moved on")
+}
+
+// Guards against an in-force mark while a member may act by an older revision.
+func TestInForce(t *testing.T) {
+	c := newCluster(3)
+	c.head = 1
+	c.trackers[0].SetApplied(c.now, 1)
+	c.trackers[1].SetApplied(c.now, 1)
+	c.round(c.trackers...)
+	assert.Zero(t, c.trackers[0].InForce(c.now), "one member has not confirmed")
+	c.trackers[2].SetApplied(c.now, 1)
+	c.now = c.now.Add(ms)
+	c.round(c.trackers...)
+	assert.Equal(t, uint64(1), c.trackers[0].InForce(c.now))
+
+	c = newCluster(3)
+	c.trackers[0].SetApplied(c.now, 1)
+	c.trackers[1].SetApplied(c.now, 1)
+	c.round(c.trackers[0], c.trackers[1])
+	c.advance(3*time.Second, func() { c.round(c.trackers[0], c.trackers[1]) })
+	assert.Zero(t, c.trackers[0].InForce(c.now), "the third member's lease may be valid")
+	c.advance(500*ms, func() { c.round(c.trackers[0], c.trackers[1]) })
+	assert.Equal(t, uint64(1), c.trackers[0].InForce(c.now))
+}
+
+// Guards against a daemon that starts during a store outage from less than a majority.
+func TestStartDuringStoreOutage(t *testing.T) {
+	c := newCluster(5)
+	for _, tr := range c.trackers {
+		tr.SetApplied(c.now, 4)
+	}
+	c.now = c.now.Add(5 * time.Second)
+	fresh := NewTracker("cell", Identity{"h00", 99}, c.now)
+	for _, tr := range c.trackers[1:3] {
+		c.call(fresh, tr, true)
+	}
+	fresh.SetApplied(c.now, 4)
+	assert.False(t, fresh.ReadyByMajority(c.now), "two of five; the daemon's own name does not count")
+	assert.True(t, failure.Is(fresh.Snapshot().MaySend(c.now), failure.NotReady))
+	c.call(fresh, c.trackers[3], true)
+	assert.True(t, fresh.ReadyByMajority(c.now))
+	assert.NoError(t, fresh.Snapshot().MaySend(c.now))
+	assert.Error(t, fresh.Snapshot().MayGrant(c.now, ownedPool(t, fresh)), "this run is not in the view")
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			c := newCluster(n)
+			c.round(c.trackers...)
+			a, peer := c.trackers[0], c.trackers[1]
+			request, _ := json.Marshal(a.Heartbeat(c.now, farEpoch))
+			answer, _ := json.Marshal(peer.Heartbeat(c.now, farEpoch))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				c.now = c.now.Add(time.Duration(i%2) * time.Microsecond)
+				c.call(a, peer, true)
+			}
+			b.ReportMetric(float64(len(request)+len(answer)), "payload-bytes/op")
+		})
+	}
+}
+
+func BenchmarkMayGrant(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			c := newCluster(n)
+			s := c.trackers[0].Snapshot()
+			for b.Loop() {
+				_ = s.MayGrant(c.now, "narration-praha-1")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,183 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Identity names one run of one daemon.
+type Identity struct {
+	Name        string `json:"n"`
+	Incarnation uint64 `json:"i"`
+}
+
+// Member is one daemon of a cell.
+type Member struct {
+	Identity
+	PeerAddress     string `json:"p"`
+	CallerAddress   string `json:"c,omitempty"`
+	OperatorAddress string `json:"o,omitempty"`
+	DataCentre      string `json:"d,omitempty"`
+}
+
+// ViewChange is the difference between the view of Epoch and the one before it.
+type ViewChange struct {
+	Epoch   uint64     `json:"e"`
+	Added   []Identity `json:"a,omitempty"`
+	Removed []Identity `json:"r,omitempty"`
+	// Left is the subset of Removed that left by itself and has stopped granting.
+	Left []Identity `json:"l,omitempty"`
+}
+
+// View is the membership of a cell at one epoch. It is immutable.
+type View struct {
+	Epoch uint64 `json:"e"`
+	// Floor is the head revision at the instant at which the view was written. A
+	// daemon that holds the view but not the revision uses no majority rule.
+	Floor uint64 `json:"f,omitempty"`
+	// Members is sorted by name.
+	Members []Member `json:"m"`
+	// Changes leads back from this view to every earlier view that a daemon may
+	// still use, in ascending order of epoch. A writer drops a change only when
+	// its own tracker has found the earlier view unusable.
+	Changes []ViewChange `json:"h,omitempty"`
+}
+
+// Member returns the member with the given name.
+func (v View) Member(name string) (Member, bool) {
+	i, found := slices.BinarySearchFunc(v.Members, name, func(m Member, n string) int { return cmp.Compare(m.Name, n) })
+	if !found {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Has reports whether this run of the daemon is a member.
+func (v View) Has(id Identity) bool {
+	m, ok := v.Member(id.Name)
+	return ok && m.Identity == id
+}
+
+// Join returns the next view with the member added; an entry of the same name is replaced.
+func (v View) Join(m Member) View {
+	change := ViewChange{Epoch: v.Epoch + 1, Added: []Identity{m.Identity}}
+	members := slices.Clone(v.Members)
+	if old, ok := v.Member(m.Name); ok {
+		change.Removed = []Identity{old.Identity}
+		members = slices.DeleteFunc(members, func(x Member) bool { return x.Name == m.Name })
+	}
+	members = append(members, m)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return View{Epoch: v.Epoch + 1, Floor: v.Floor, Members: members, Changes: append(slices.Clone(v.Changes), change)}
+}
+
+// Remove returns the next view without the given members. The caller sets left
+// only when it removes itself and has stopped granting and answering.
+func (v View) Remove(left bool, ids ...Identity) View {
+	change := ViewChange{Epoch: v.Epoch + 1, Removed: slices.Clone(ids)}
+	if left {
+		change.Left = change.Removed
+	}
+	members := slices.DeleteFunc(slices.Clone(v.Members), func(m Member) bool { return slices.Contains(ids, m.Identity) })
+	return View{Epoch: v.Epoch + 1, Floor: v.Floor, Members: members, Changes: append(slices.Clone(v.Changes), change)}
+}
+
+// prune returns the view without the changes that lead to views below the epoch.
+func (v View) prune(oldest uint64) View {
+	changes := slices.DeleteFunc(slices.Clone(v.Changes), func(c ViewChange) bool { return c.Epoch <= oldest })
+	return View{Epoch: v.Epoch, Floor: v.Floor, Members: v.Members, Changes: changes}
+}
+
+func (v View) identities() []Identity {
+	out := make([]Identity, len(v.Members))
+	for i, m := range v.Members {
+		out[i] = m.Identity
+	}
+	return out
+}
+
+// previous rebuilds the earlier views from Changes, newest first.
+func (v View) previous() []pastView {
+	ids := v.identities()
+	var out []pastView
+	for _, c := range slices.Backward(v.Changes) {
+		ids = slices.DeleteFunc(slices.Clone(ids), func(id Identity) bool { return slices.Contains(c.Added, id) })
+		ids = append(ids, c.Removed...)
+		slices.SortFunc(ids, func(a, b Identity) int { return cmp.Compare(a.Name, b.Name) })
+		out = append(out, newPastView(c.Epoch-1, ids))
+	}
+	return out
+}
+
+// left returns the runs that the changes report as having left by themselves.
+func (v View) left() map[Identity]bool {
+	out := map[Identity]bool{}
+	for _, c := range v.Changes {
+		for _, id := range c.Left {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// ranking orders members for a key by rendezvous hashing over their names.
+type ranking struct {
+	ids    []Identity
+	hashes []uint64
+}
+
+func newRanking(ids []Identity) ranking {
+	hashes := make([]uint64, len(ids))
+	for i, id := range ids {
+		hashes[i] = xxhash.Sum64String(id.Name)
+	}
+	return ranking{ids: ids, hashes: hashes}
+}
+
+// score mixes the two hashes with the finaliser of SplitMix64, so that the order
+// of the members is independent from key to key.
+func score(key, member uint64) uint64 {
+	x := key ^ member
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// at returns the member at the given place (0 or 1) in the order for the key.
+func (r ranking) at(key string, place int) (Identity, bool) {
+	if place >= len(r.ids) {
+		return Identity{}, false
+	}
+	hash := xxhash.Sum64String(key)
+	first, second := -1, -1
+	for i := range r.ids {
+		s := score(hash, r.hashes[i])
+		switch {
+		case first < 0 || s < score(hash, r.hashes[first]):
+			first, second = i, first
+		case second < 0 || s < score(hash, r.hashes[second]):
+			second = i
+		}
+	}
+	if place == 0 {
+		return r.ids[first], true
+	}
+	return r.ids[second], true
+}
+
+// order returns the names in rendezvous order for the key.
+func (r ranking) order(key string) []string {
+	hash := xxhash.Sum64String(key)
+	index := make([]int, len(r.ids))
+	for i := range index {
+		index[i] = i
+	}
+	slices.SortFunc(index, func(a, b int) int { return cmp.Compare(score(hash, r.hashes[a]), score(hash, r.hashes[b])) })
+	names := make([]string, len(index))
+	for i, j := range index {
+		names[i] = r.ids[j].Name
+	}
+	return names
+}
