Add the change log

A commit is one transaction over the head row and a new log entry. A lost answer is resolved by the change identifier in the entry; while an earlier try may still arrive the outcome is reported as unknown. The head row carries the latest entry when it is small, so that pollers need no second read.

--- /dev/null
+++ b/internal/changelog/fake_test.go
@@ -0,0 +1,116 @@
+package changelog
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+// fakeTable is a table in memory with faults. before runs ahead of each Commit
+// without the lock and may stand for a racing writer.
+type fakeTable struct {
+	mu          sync.Mutex
+	items       map[platform.Key]platform.Item
+	down        bool
+	loseAnswers int // commits that take effect but whose answer is lost
+	loseWrites  int // commits that report an unknown outcome and do nothing
+	before      func()
+	reads       int
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{items: map[platform.Key]platform.Item{}} }
+
+func (f *fakeTable) Get(_ context.Context, key platform.Key) (platform.Item, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.down {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	item, ok := f.items[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return item, nil
+}
+
+func (f *fakeTable) Query(_ context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	var out []platform.Item
+	for _, item := range slices.SortedFunc(maps.Values(f.items), func(a, b platform.Item) int { return strings.Compare(a.Key.Sort, b.Key.Sort) }) {
+		if item.Key.Partition == partition && item.Key.Sort > after && len(out) < limit {
+			out = append(out, item)
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, writes ...platform.Write) error {
+	if before := f.before; before != nil {
+		f.before = nil
+		before()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.down:
+		return platform.ErrUnavailable
+	case f.loseWrites > 0:
+		f.loseWrites--
+		return platform.ErrOutcomeUnknown
+	}
+	for _, w := range writes {
+		if f.items[w.Key].Version != w.Expect {
+			return platform.ErrConflict
+		}
+	}
+	for _, w := range writes {
+		if w.Kind == platform.Put {
+			f.items[w.Key] = platform.Item{Key: w.Key, Version: w.Expect + 1, Value: w.Value}
+		}
+	}
+	if f.loseAnswers > 0 {
+		f.loseAnswers--
+		return platform.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+type fakeObjects map[string][]byte
+
+func (f fakeObjects) Put(_ context.Context, name string, body []byte) error {
+	f[name] = body
+	return nil
+}
+
+func (f fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	body, ok := f[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return body, nil
+}
+
+// parseFake accepts a text of the form "dc1,dc2 ...padding" and always lists one
+// service with two versions.
+func parseFake(text string) (*entity.ServiceText, error) {
+	if text == "bad" {
+		return nil, errors.New("bad text")
+	}
+	names, _, _ := strings.Cut(text, " ")
+	return &entity.ServiceText{
+		DataCentres: strings.Split(names, ","),
+		Services:    []entity.Service{{Name: "narration", Versions: []entity.Version{{Name: "v1"}, {Name: "v2"}}}},
+	}, nil
+}
--- /dev/null
+++ b/internal/changelog/log.go
@@ -0,0 +1,292 @@
+package changelog
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+const (
+	// maxInline is the encoded size above which the text moves to the object
+	// store: table services limit an item to 400 KB, of which the rest is reserve.
+	maxInline = 300 << 10
+	// maxHeadInline is the encoded size up to which the head row carries the
+	// latest entry, so that pollers need no second read for a small change.
+	maxHeadInline = 2 << 10
+	// snapshotEvery is the number of revisions between snapshots.
+	snapshotEvery = 100
+	// maxAttempts bounds the retries of a commit that loses races.
+	maxAttempts = 8
+	readPage    = 100
+
+	retryFirst      = 5 * time.Millisecond
+	retryLongest    = 200 * time.Millisecond
+	snapshotTimeout = 2 * time.Second
+)
+
+const (
+	logPartition   = "changelog"
+	statePartition = "changelog-state"
+)
+
+var (
+	// HeadKey is the key of the head row. A writer of other rows can check its
+	// version in a transaction to know the head exactly.
+	HeadKey     = platform.Key{Partition: statePartition, Sort: "head"}
+	snapshotKey = platform.Key{Partition: statePartition, Sort: "snapshot"}
+)
+
+func entryKey(revision uint64) platform.Key {
+	return platform.Key{Partition: logPartition, Sort: fmt.Sprintf("%020d", revision)}
+}
+
+// stored is an entry as written: its text is inline or an object.
+type stored struct {
+	entity.Change
+	TextObject string `json:"text_object,omitempty"`
+}
+
+// Head is the head row: the latest revision and its entry.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	// Latest is the entry of Revision; its text is left out when Complete is false.
+	Latest   entity.Change `json:"latest"`
+	Complete bool          `json:"complete"`
+	// Version is the version of the row, 0 when it does not exist.
+	Version uint64 `json:"-"`
+}
+
+// Guard returns writes, usually checks, that must hold in the transaction of a
+// commit. It is called again for each attempt.
+type Guard func(ctx context.Context) ([]platform.Write, error)
+
+// Log is the ordered log of changes in the table service. It is safe for
+// concurrent use and holds no resource that needs closing.
+type Log struct {
+	table    platform.Table
+	objects  platform.ObjectStore
+	follower *Follower
+}
+
+// NewLog returns the log over the table. The follower supplies the configuration
+// against which changes are checked and is kept up to date by Load, CatchUp and
+// Commit. objects may be nil: then large texts are refused.
+func NewLog(table platform.Table, objects platform.ObjectStore, follower *Follower) *Log {
+	return &Log{table: table, objects: objects, follower: follower}
+}
+
+// Follower returns the follower that the log keeps up to date.
+func (l *Log) Follower() *Follower { return l.follower }
+
+// Head reads the head row. An empty log has revision 0.
+func (l *Log) Head(ctx context.Context) (Head, error) {
+	item, err := l.table.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, nil
+	}
+	if err != nil {
+		return Head{}, unavailable(err)
+	}
+	var head Head
+	if err := json.Unmarshal(item.Value, &head); err != nil {
+		return Head{}, failure.New(failure.Internal, "head row: %v", err)
+	}
+	head.Version = item.Version
+	return head, nil
+}
+
+func unavailable(err error) error {
+	return failure.NotRun(failure.StoreUnavailable, "table service: %v", err)
+}
+
+// Read returns up to limit entries after the given revision, in order and without gaps.
+func (l *Log) Read(ctx context.Context, after uint64, limit int) ([]entity.Change, error) {
+	items, err := l.table.Query(ctx, logPartition, entryKey(after).Sort, limit)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	changes := make([]entity.Change, 0, len(items))
+	for i, item := range items {
+		change, err := l.decode(ctx, item.Value)
+		if err != nil {
+			return changes, err
+		}
+		if want := after + 1 + uint64(i); change.Revision != want {
+			return changes, errGap(want, change.Revision)
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+func (l *Log) decode(ctx context.Context, value []byte) (entity.Change, error) {
+	var s stored
+	if err := json.Unmarshal(value, &s); err != nil {
+		return entity.Change{}, failure.New(failure.Internal, "log entry: %v", err)
+	}
+	text, err := l.fetchText(ctx, s.Text, s.TextObject)
+	s.Text = text
+	return s.Change, err
+}
+
+func (l *Log) fetchText(ctx context.Context, inline, object string) (string, error) {
+	if object == "" {
+		return inline, nil
+	}
+	if l.objects == nil {
+		return "", failure.New(failure.StoreUnavailable, "the service text is in object %s, but no object store is set", object)
+	}
+	body, err := l.objects.Get(ctx, object)
+	if err != nil {
+		return "", failure.NotRun(failure.StoreUnavailable, "object store: %v", err)
+	}
+	if objectName(string(body)) != object {
+		return "", failure.New(failure.Internal, "object %s does not have the content of its name", object)
+	}
+	return string(body), nil
+}
+
+func objectName(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return "service-text/" + hex.EncodeToString(sum[:])
+}
+
+// storeText writes a text to the object store under its hash.
+func (l *Log) storeText(ctx context.Context, text string) (string, error) {
+	if l.objects == nil {
+		return "", failure.NotRun(failure.StoreUnavailable, "a service text over %d bytes needs an object store, and none is set", maxInline)
+	}
+	name := objectName(text)
+	if err := l.objects.Put(ctx, name, []byte(text)); err != nil {
+		return "", failure.NotRun(failure.StoreUnavailable, "object store: %v", err)
+	}
+	return name, nil
+}
+
+// Load brings the follower to the head: from the snapshot, if it is ahead, and
+// the entries after it.
+func (l *Log) Load(ctx context.Context) error {
+	item, err := l.table.Get(ctx, snapshotKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return unavailable(err)
+	}
+	if err == nil {
+		// Without a usable snapshot the whole log is read.
+		var s Snapshot
+		if json.Unmarshal(item.Value, &s) == nil {
+			if s.Text, err = l.fetchText(ctx, s.Text, s.TextObject); err == nil {
+				_ = l.follower.Restore(s)
+			}
+		}
+	}
+	return l.CatchUp(ctx)
+}
+
+// CatchUp applies all entries after the follower's revision.
+func (l *Log) CatchUp(ctx context.Context) error {
+	for {
+		changes, err := l.Read(ctx, l.follower.Revision(), readPage)
+		if _, applyErr := l.follower.Apply(changes...); err == nil {
+			err = applyErr
+		}
+		if err != nil || len(changes) < readPage {
+			return err
+		}
+	}
+}
+
+// reach brings the follower to the head that was read.
+func (l *Log) reach(ctx context.Context, head Head) error {
+	if head.Complete && l.follower.Revision()+1 == head.Revision {
+		_, err := l.follower.Apply(head.Latest)
+		return err
+	}
+	if l.follower.Revision() < head.Revision {
+		return l.CatchUp(ctx)
+	}
+	return nil
+}
+
+// Poll reads the head and applies what is new. It returns the head revision also
+// when the entries could not be read.
+func (l *Log) Poll(ctx context.Context) (Head, error) {
+	head, err := l.Head(ctx)
+	if err != nil {
+		return head, err
+	}
+	return head, l.reach(ctx, head)
+}
+
+// Commit appends the change and returns its revision. expect is the revision that
+// the change builds on, or 0 for the current one. A change that is impossible, or
+// whose expected revision is not current, is refused with a typed failure; a
+// conflict names the change that won. With expect 0 a lost race is tried again as
+// long as the change still applies. A change whose identifier is in the log
+// already is not written again. OutcomeUnknown means that the caller must look
+// for the change identifier in the log.
+func (l *Log) Commit(ctx context.Context, expect uint64, change entity.Change, guards ...Guard) (uint64, error) {
+	if change.ID == "" {
+		return 0, failure.NotRun(failure.InvalidRequest, "the change has no identifier")
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = retryFirst, retryLongest
+	a := attempt{log: l, change: change, expect: expect, guards: guards}
+	for range maxAttempts {
+		revision, err := a.run(ctx)
+		if !errors.Is(err, errLostRace) {
+			return revision, a.outcome(err)
+		}
+		select {
+		case <-ctx.Done():
+			return 0, a.outcome(failure.NotRun(failure.DeadlineExceeded, "change %s: %v", change.ID, ctx.Err()))
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+	if a.winner.ID == "" {
+		return 0, a.outcome(failure.NotRun(failure.Conflict, "change %s: the members of the cell changed at each attempt", change.ID))
+	}
+	return 0, a.outcome(conflict(change, a.winner))
+}
+
+func conflict(change, winner entity.Change) error {
+	return failure.NotRun(failure.Conflict, "change %s lost to change %s (%s by operator %s, revision %d)",
+		change.ID, winner.ID, winner.Kind, winner.Operator, winner.Revision)
+}
+
+// Snapshot writes the follower's state to the snapshot row unless the row is ahead.
+func (l *Log) Snapshot(ctx context.Context) error {
+	s := l.follower.Snapshot()
+	item, err := l.table.Get(ctx, snapshotKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return unavailable(err)
+	}
+	var old Snapshot
+	if err == nil && json.Unmarshal(item.Value, &old) == nil && old.Revision >= s.Revision {
+		return nil
+	}
+	value, err := json.Marshal(s)
+	if err == nil && len(value) > maxInline {
+		if s.TextObject, err = l.storeText(ctx, s.Text); err != nil {
+			return err
+		}
+		s.Text = ""
+		value, err = json.Marshal(s)
+	}
+	if err != nil {
+		return failure.New(failure.Internal, "snapshot: %v", err)
+	}
+	if err := l.table.Commit(ctx, platform.Write{Kind: platform.Put, Key: snapshotKey, Expect: item.Version, Value: value}); err != nil {
+		return unavailable(err)
+	}
+	return nil
+}
--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -145,6 +145,8 @@
 	Rollouts map[string]Rollout
 	// InForce holds the highest revision that every member has confirmed.
 	InForce uint64
+	// LastChange is the highest revision whose entry is not itself an in-force entry.
+	LastChange uint64
 }
 
 // Service returns the service with the given name.
