--- /dev/null
+++ b/internal/timeline/clock.go
@@ -0,0 +1,92 @@
+// Package timeline records what happens in each process and merges the records of
+// all processes into one list in causal order.
+package timeline
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	counterBits = 16
+	counterMask = 1<<counterBits - 1
+	// maxAhead bounds how far a received timestamp may be ahead of the local wall
+	// clock; one host with a wrong clock would otherwise move all clocks.
+	maxAhead = time.Minute
+
+	timeLayout = "2006-01-02T15:04:05.000Z"
+)
+
+// Timestamp is a reading of a hybrid logical clock: 48 bits of milliseconds since
+// 1970 and a 16-bit counter. Timestamps are ordered as integers.
+type Timestamp uint64
+
+func fromTime(t time.Time) Timestamp {
+	return Timestamp(max(t.UnixMilli(), 0)) << counterBits
+}
+
+// At returns the first timestamp of the given wall-clock time.
+func At(t time.Time) Timestamp { return fromTime(t) }
+
+// Time returns the wall-clock part.
+func (t Timestamp) Time() time.Time { return time.UnixMilli(int64(t >> counterBits)).UTC() }
+
+// String returns a form that sorts as the timestamps do, such as
+// 2026-12-04T06:00:00.000Z/00003.
+func (t Timestamp) String() string {
+	return fmt.Sprintf("%s/%05d", t.Time().Format(timeLayout), uint64(t&counterMask))
+}
+
+// MarshalText returns String.
+func (t Timestamp) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText accepts the form of String, and any RFC 3339 time.
+func (t *Timestamp) UnmarshalText(text []byte) error {
+	wall, counter, found := strings.Cut(string(text), "/")
+	at, err := time.Parse(time.RFC3339Nano, wall)
+	if err != nil {
+		return fmt.Errorf("timestamp %q: use a time such as 2026-12-04T06:00:00Z", text)
+	}
+	*t = fromTime(at)
+	if !found {
+		return nil
+	}
+	n, err := strconv.ParseUint(counter, 10, counterBits)
+	if err != nil {
+		return fmt.Errorf("timestamp %q: the counter is not a number of %d bits", text, counterBits)
+	}
+	*t |= Timestamp(n)
+	return nil
+}
+
+// Clock is a hybrid logical clock. Each reading is greater than all readings and
+// all observed timestamps before it. It is safe for concurrent use.
+type Clock struct {
+	wall func() time.Time
+	mu   sync.Mutex
+	last Timestamp
+}
+
+// NewClock returns a clock over the given wall clock.
+func NewClock(wall func() time.Time) *Clock { return &Clock{wall: wall} }
+
+// Now returns the next reading, for an event or for a message to send.
+func (c *Clock) Now() Timestamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last+1, fromTime(c.wall()))
+	return c.last
+}
+
+// Observe takes in the timestamp of a received message. A timestamp that is too
+// far ahead of the wall clock is ignored.
+func (c *Clock) Observe(remote Timestamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if remote > c.last && remote <= fromTime(c.wall().Add(maxAhead)) {
+		c.last = remote
+	}
+}
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,146 @@
+package timeline
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Kind names what an event reports, such as permit-granted.
+type Kind string
+
+// Attribute is one detail of an event.
+type Attribute struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Attr returns an attribute with the value in its usual text form.
+func Attr(key string, value any) Attribute { return Attribute{Key: key, Value: fmt.Sprint(value)} }
+
+// Event is one entry of the timeline. Time and Host identify it.
+type Event struct {
+	Time       Timestamp   `json:"time"`
+	Host       string      `json:"host"`
+	Request    string      `json:"request,omitempty"`
+	Kind       Kind        `json:"kind"`
+	Attributes []Attribute `json:"attributes,omitempty"`
+}
+
+// String returns the event as one line of key=value pairs.
+func (e Event) String() string {
+	var b strings.Builder
+	b.WriteString("time=" + e.Time.String())
+	pair(&b, "host", e.Host)
+	pair(&b, "kind", string(e.Kind))
+	if e.Request != "" {
+		pair(&b, "request", e.Request)
+	}
+	for _, a := range e.Attributes {
+		pair(&b, a.Key, a.Value)
+	}
+	return b.String()
+}
+
+func pair(b *strings.Builder, key, value string) {
+	b.WriteByte(' ')
+	b.WriteString(quoted(key))
+	b.WriteByte('=')
+	b.WriteString(quoted(value))
+}
+
+func quoted(s string) string {
+	special := func(r rune) bool { return r <= ' ' || r == '=' || r == '"' || !strconv.IsPrint(r) }
+	if s == "" || strings.ContainsFunc(s, special) {
+		return strconv.Quote(s)
+	}
+	return s
+}
+
+// Text returns the events as lines.
+func Text(events []Event) string {
+	var b strings.Builder
+	for _, e := range events {
+		b.WriteString(e.String())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// Filter selects events. Zero fields select everything.
+type Filter struct {
+	Request string    `json:"request,omitempty"`
+	Kind    Kind      `json:"kind,omitempty"`
+	Since   Timestamp `json:"since,omitempty"`
+	// Limit keeps only the latest events.
+	Limit int `json:"limit,omitempty"`
+}
+
+// Match reports whether the filter selects the event, apart from Limit.
+func (f Filter) Match(e Event) bool {
+	return (f.Request == "" || f.Request == e.Request) && (f.Kind == "" || f.Kind == e.Kind) && e.Time >= f.Since
+}
+
+// Merge returns the events of all lists in causal order: an event that could have
+// caused another comes before it. Events at equal times are ordered by host, so
+// the result does not depend on the order of the lists. An event that is in
+// several lists is kept once.
+func Merge(lists ...[]Event) []Event {
+	out := slices.Concat(lists...)
+	slices.SortStableFunc(out, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Time, b.Time), cmp.Compare(a.Host, b.Host))
+	})
+	return slices.CompactFunc(out, func(a, b Event) bool { return a.Time == b.Time && a.Host == b.Host })
+}
+
+// Recorder keeps the latest events of one process. It is safe for concurrent use.
+type Recorder struct {
+	host  string
+	clock *Clock
+
+	mu     sync.Mutex
+	events []Event // ring once it has reached its capacity
+	next   int
+	limit  int
+}
+
+// NewRecorder returns a recorder that keeps the given number of events (at least 1).
+func NewRecorder(host string, clock *Clock, capacity int) *Recorder {
+	return &Recorder{host: host, clock: clock, limit: max(capacity, 1)}
+}
+
+// Clock returns the recorder's clock.
+func (r *Recorder) Clock() *Clock { return r.clock }
+
+// Record adds an event at the present time; request may be empty.
+func (r *Recorder) Record(kind Kind, request string, attributes ...Attribute) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The clock is read under the lock, so the ring is in order of time.
+	e := Event{Time: r.clock.Now(), Host: r.host, Request: request, Kind: kind, Attributes: attributes}
+	if len(r.events) < r.limit {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % r.limit
+}
+
+// Read returns the selected events in order of time.
+func (r *Recorder) Read(filter Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for i := range r.events {
+		if e := r.events[(r.next+i)%len(r.events)]; filter.Match(e) {
+			out = append(out, e)
+		}
+	}
+	if filter.Limit > 0 && len(out) > filter.Limit {
+		out = slices.Clone(out[len(out)-filter.Limit:])
+	}
+	return out
+}
