Add rollout split, evidence and sequential test

Wald's test over a mixture of alternatives with starts at thinned windows, so that a late fault is not hidden by the good requests before it.

--- /dev/null
+++ b/internal/rollout/counter.go
@@ -0,0 +1,128 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Outcome is what one finished request tells about its version.
+type Outcome struct {
+	Failed bool
+	// FirstToken and MeanStep are 0 when they are unknown, as in plain services.
+	FirstToken time.Duration
+	MeanStep   time.Duration
+}
+
+// Counts sums outcomes of one version.
+type Counts struct {
+	Success    uint64    `json:"success"`
+	Failure    uint64    `json:"failure"`
+	FirstToken Histogram `json:"first_token"`
+	Step       Histogram `json:"step"`
+}
+
+func (c *Counts) add(o Outcome) {
+	if o.Failed {
+		c.Failure++
+	} else {
+		c.Success++
+	}
+	if o.FirstToken > 0 {
+		c.FirstToken.Add(o.FirstToken)
+	}
+	if o.MeanStep > 0 {
+		c.Step.Add(o.MeanStep)
+	}
+}
+
+func (c *Counts) plus(o *Counts) {
+	c.Success += o.Success
+	c.Failure += o.Failure
+	c.FirstToken.plus(&o.FirstToken)
+	c.Step.plus(&o.Step)
+}
+
+func (c *Counts) minus(o *Counts) {
+	c.Success -= o.Success
+	c.Failure -= o.Failure
+	c.FirstToken.minus(&o.FirstToken)
+	c.Step.minus(&o.Step)
+}
+
+// Comparison holds the counts of both versions over the same period.
+type Comparison struct {
+	Old Counts `json:"old"`
+	New Counts `json:"new"`
+}
+
+func (c *Comparison) plus(o *Comparison) {
+	c.Old.plus(&o.Old)
+	c.New.plus(&o.New)
+}
+
+func (c *Comparison) minus(o *Comparison) {
+	c.Old.minus(&o.Old)
+	c.New.minus(&o.New)
+}
+
+// RouteCounts are the counts of one route in one step of the rollout.
+type RouteCounts struct {
+	Step  int        `json:"step"`
+	Route string     `json:"route"`
+	Both  Comparison `json:"both"`
+}
+
+// Report is a daemon's cumulative evidence since the start of the rollout. A later
+// Sequence of the same incarnation replaces the earlier one, so that reports may be
+// lost, repeated and reordered.
+type Report struct {
+	Daemon      string        `json:"daemon"`
+	Incarnation string        `json:"incarnation"`
+	Sequence    uint64        `json:"sequence"`
+	Counts      []RouteCounts `json:"counts"`
+}
+
+type routeKey struct {
+	step  int
+	route string
+}
+
+// Counter collects a daemon's evidence for one rollout. It is not safe for
+// concurrent use; its caller serialises access.
+type Counter struct {
+	daemon, incarnation string
+	sequence            uint64
+	counts              map[routeKey]*Comparison
+}
+
+// NewCounter returns an empty counter for the given daemon.
+func NewCounter(daemon, incarnation string) *Counter {
+	return &Counter{daemon: daemon, incarnation: incarnation, counts: map[routeKey]*Comparison{}}
+}
+
+// Record counts an outcome. The step is that in which the request was assigned, since
+// the shares of both versions are constant only within a step.
+func (c *Counter) Record(step int, route string, onNew bool, o Outcome) {
+	key := routeKey{step, route}
+	both := c.counts[key]
+	if both == nil {
+		both = &Comparison{}
+		c.counts[key] = both
+	}
+	if onNew {
+		both.New.add(o)
+	} else {
+		both.Old.add(o)
+	}
+}
+
+// Report returns the cumulative evidence. The result is the caller's own copy.
+func (c *Counter) Report() Report {
+	c.sequence++
+	r := Report{Daemon: c.daemon, Incarnation: c.incarnation, Sequence: c.sequence}
+	for _, key := range slices.SortedFunc(maps.Keys(c.counts), compareKeys) {
+		r.Counts = append(r.Counts, RouteCounts{Step: key.step, Route: key.route, Both: *c.counts[key]})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/rollout/histogram.go
@@ -0,0 +1,97 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	// buckets of bucketsPerDoubling each cover 1 ms to 65 s; the last one holds everything above.
+	buckets            = 128
+	bucketsPerDoubling = 8
+	firstEdge          = time.Millisecond
+)
+
+// Histogram counts durations in fixed logarithmic buckets, 9% wide, so that
+// histograms of many daemons can be added and subtracted exactly.
+type Histogram [buckets]uint32
+
+// Add counts one duration.
+func (h *Histogram) Add(d time.Duration) {
+	h[bucketOf(d)]++
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= firstEdge {
+		return 0
+	}
+	return min(int(math.Log2(float64(d)/float64(firstEdge))*bucketsPerDoubling), buckets-1)
+}
+
+func (h *Histogram) total() (n uint64) {
+	for _, c := range h {
+		n += uint64(c)
+	}
+	return n
+}
+
+// quantileBucket returns the bucket that holds the given quantile of n durations.
+func (h *Histogram) quantileBucket(q float64, n uint64) int {
+	rank := uint64(math.Ceil(q * float64(n)))
+	var sum uint64
+	for i, c := range h {
+		if sum += uint64(c); sum >= rank {
+			return i
+		}
+	}
+	return buckets - 1
+}
+
+// above counts the durations in buckets after the given one.
+func (h *Histogram) above(bucket int) (n uint64) {
+	for _, c := range h[min(bucket+1, buckets):] {
+		n += uint64(c)
+	}
+	return n
+}
+
+func (h *Histogram) plus(o *Histogram) {
+	for i := range h {
+		h[i] += o[i]
+	}
+}
+
+func (h *Histogram) minus(o *Histogram) {
+	for i := range h {
+		h[i] -= o[i]
+	}
+}
+
+// MarshalJSON writes the non-empty buckets as [index, count] pairs.
+func (h Histogram) MarshalJSON() ([]byte, error) {
+	pairs := make([][2]uint32, 0, 16)
+	for i, c := range h {
+		if c != 0 {
+			pairs = append(pairs, [2]uint32{uint32(i), c})
+		}
+	}
+	return json.Marshal(pairs)
+}
+
+// UnmarshalJSON reads the form of MarshalJSON.
+func (h *Histogram) UnmarshalJSON(data []byte) error {
+	var pairs [][2]uint32
+	if err := json.Unmarshal(data, &pairs); err != nil {
+		return err
+	}
+	*h = Histogram{}
+	for _, p := range pairs {
+		if p[0] >= buckets {
+			return fmt.Errorf("bucket %d of a histogram is above %d", p[0], buckets-1)
+		}
+		h[p[0]] = p[1]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rollout/simulation_test.go
@@ -0,0 +1,246 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+)
+
+// world describes the traffic and both versions of one simulated rollout.
+type world struct {
+	finishWithin time.Duration
+	rate         func(t time.Duration) float64 // requests a second
+	routes       int
+	oldFailure   float64
+	plain        bool // a plain, non-repeatable service
+	// fault returns the added failure rate and the slowdown of the new version.
+	fault func(t time.Duration, rate float64, route int) (failure, slowdown float64)
+}
+
+// ending is how one simulated rollout ended.
+type ending struct {
+	action       Action
+	reason       string
+	at           time.Duration
+	step         int
+	all, onNew   int // requests until the end
+	faulty       int // requests on the new version while its fault showed
+	faultyPeriod int // all requests while the fault showed
+	from         time.Duration
+}
+
+const (
+	tick      = time.Second
+	reportLag = time.Second
+)
+
+// simulate runs one rollout to its end. Reports reach the controller reportLag late.
+func simulate(w world, seed uint64) (e ending) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	s := entity.Service{Repeatable: !w.plain, Rollout: entity.RolloutPolicy{FinishWithin: w.finishWithin, MaxErrorIncrease: 0.02, MaxSlowdown: 1.5}}
+	began := time.Unix(1_000_000, int64(seed))
+	r := entity.Rollout{Service: "s", From: "v1", To: "v2", Step: 1, State: entity.RolloutRunning, StartedAt: began, StepAt: began}
+	counter, evidence := NewCounter("d", "1"), NewEvidence()
+	var pending []Report
+	e.from = -1
+	for at := time.Duration(0); at < 2*w.finishWithin; at += tick {
+		rate := w.rate(at)
+		for range int(rate*tick.Seconds() + rng.Float64()) {
+			e.request(w, at, rate, r, s, counter, rng)
+		}
+		pending = append(pending, counter.Report())
+		if len(pending) > int(reportLag/tick) {
+			evidence.Merge(pending[0])
+			pending = pending[1:]
+		}
+		now := began.Add(at + tick)
+		switch v := Judge(now, r, s, evidence); v.Action {
+		case Step:
+			r.Step, r.StepAt = v.Step, now
+		case Finish, Undo:
+			e.action, e.reason, e.at, e.step = v.Action, v.Reason, at+tick, r.Step
+			return e
+		}
+	}
+	return e
+}
+
+func (e *ending) request(w world, at time.Duration, rate float64, r entity.Rollout, s entity.Service, c *Counter, rng *rand.Rand) {
+	route := int(float64(w.routes) * rng.Float64() * rng.Float64()) // some routes are much larger than others
+	onNew := Assign(r, s, rng.Uint64()) == r.To
+	failure, slowdown := w.fault(at, rate, route)
+	e.all++
+	if failure > 0 || slowdown > 1 {
+		if e.from < 0 {
+			e.from = at
+		}
+		e.faultyPeriod++
+	}
+	load := 1 + math.Max(0, rate-20)/20 // both versions slow down under load
+	factor := load * math.Exp(0.4*rng.NormFloat64())
+	p := w.oldFailure
+	if onNew {
+		e.onNew++
+		if failure > 0 || slowdown > 1 {
+			e.faulty++
+		}
+		p += failure
+		factor *= slowdown
+	}
+	o := Outcome{Failed: rng.Float64() < p}
+	if !w.plain && !o.Failed {
+		o.FirstToken = time.Duration(300 * factor * float64(time.Millisecond))
+		o.MeanStep = time.Duration(40 * factor * float64(time.Millisecond))
+	}
+	c.Record(r.Step, fmt.Sprintf("account-%d", route), onNew, o)
+}
+
+// runSeeds simulates the seeds on a few goroutines; the results do not depend on their order.
+func runSeeds(w world, seeds int) []ending {
+	const workers = 4
+	out := make([]ending, seeds)
+	var group sync.WaitGroup
+	for k := range workers {
+		group.Go(func() {
+			for i := k; i < seeds; i += workers {
+				out[i] = simulate(w, uint64(i+1))
+			}
+		})
+	}
+	group.Wait()
+	return out
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+func good(time.Duration, float64, int) (float64, float64) { return 0, 1 }
+
+// rushes doubles the rate in every other two minutes.
+func rushes(t time.Duration) float64 {
+	if int(t/(2*time.Minute))%2 == 1 {
+		return 40
+	}
+	return 20
+}
+
+// Guards against undoing versions that are as good as the old one more often than alpha,
+// and against good versions that do not finish on time, overnight with few requests too.
+func TestGoodVersionsFinishOnTime(t *testing.T) {
+	const seeds = 100
+	worlds := map[string]world{
+		"steady":      {finishWithin: 10 * time.Minute, rate: steady(20), routes: 10, oldFailure: 0.01},
+		"rushes":      {finishWithin: 10 * time.Minute, rate: rushes, routes: 10, oldFailure: 0.01},
+		"often fails": {finishWithin: 10 * time.Minute, rate: steady(20), routes: 30, oldFailure: 0.1},
+		"never fails": {finishWithin: 10 * time.Minute, rate: steady(20), routes: 10, oldFailure: 0},
+		"overnight":   {finishWithin: 20 * time.Minute, rate: steady(0.1), routes: 5, oldFailure: 0.02},
+		"bookings":    {finishWithin: 10 * time.Minute, rate: steady(5), routes: 5, oldFailure: 0.02, plain: true},
+	}
+	undone, total := 0, 0
+	for name, w := range worlds {
+		w.fault = good
+		var latest time.Duration
+		here := 0
+		for seed, e := range runSeeds(w, seeds) {
+			total++
+			if e.action == Undo {
+				here++
+				t.Logf("%s: seed %d undone at %v in step %d: %s", name, seed+1, e.at, e.step, e.reason)
+				continue
+			}
+			require.Equal(t, Finish, e.action)
+			latest = max(latest, e.at)
+		}
+		undone += here
+		t.Logf("%s: %d of %d undone, the latest finished at %v of %v", name, here, seeds, latest, w.finishWithin)
+		assert.LessOrEqual(t, latest, w.finishWithin, name)
+		assert.LessOrEqual(t, float64(here), alpha*seeds, name)
+	}
+	assert.LessOrEqual(t, float64(undone), alpha*float64(total))
+}
+
+// requestsToUndo is the expected number of requests on the new version until evidence with
+// drift towards a failure rate crosses the bound, by Wald's identity. The evidence is that
+// of the policy's own alternative, which is the slowest one of the mixture.
+func requestsToUndo(bound, oldRate, rate float64) float64 {
+	p0 := oldRate + tolerance
+	drift := logRatio(sample{rate, 1}, p0, p0+0.02)
+	return (bound + math.Log(2)) / drift
+}
+
+// Guards against bad versions that receive more requests than the test's design allows
+// (R4): the expected number by Wald's identity, twice for the unknown rate of the old
+// version and the thinned starts, and what arrives within one window and the report lag.
+func TestBadVersionsAreUndone(t *testing.T) {
+	const seeds, finishWithin, rate, oldRate, routes = 40, 10 * time.Minute, 20.0, 0.01, 10
+	b := boundsFor(routes, finishWithin)
+	later := func(from time.Duration, failure, slowdown float64) func(time.Duration, float64, int) (float64, float64) {
+		return func(at time.Duration, _ float64, _ int) (float64, float64) {
+			if at < from {
+				return 0, 1
+			}
+			return failure, slowdown
+		}
+	}
+	cases := []struct {
+		name   string
+		rate   func(time.Duration) float64
+		fault  func(time.Duration, float64, int) (float64, float64)
+		bound  float64 // that applies: pooled from the start, late afterwards
+		bad    float64 // rate of bad requests on the new version
+		share  float64 // share of the traffic while the fault shows
+		onlyOn float64 // share of the requests that the fault concerns
+	}{
+		{"all fail at once", steady(rate), later(0, 0.99, 1), b.pooled, 1, 0.05, 1},
+		{"a fifth fails at once", steady(rate), later(0, 0.2, 1), b.pooled, 0.21, 0.05, 1},
+		{"a fifth fails later", steady(rate), later(4*time.Minute, 0.2, 1), b.late, 0.21, 1, 1},
+		{"slow at once", steady(rate), later(0, 0, 3), b.pooled, 0.5, 0.05, 1},
+		{"slow later", steady(rate), later(4*time.Minute, 0, 3), b.late, 0.5, 1, 1},
+		{"fails under load only", rushes, func(_ time.Duration, now float64, _ int) (float64, float64) {
+			if now > rate {
+				return 0.3, 1
+			}
+			return 0, 1
+		}, b.late, 0.31, 0.3, 1},
+		{"fails on one route only", steady(rate), func(_ time.Duration, _ float64, route int) (float64, float64) {
+			if route == 3 {
+				return 0.5, 1
+			}
+			return 0, 1
+		}, b.routePooled, 0.51, 0.3, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			endings := runSeeds(world{finishWithin: finishWithin, rate: c.rate, routes: routes, oldFailure: oldRate, fault: c.fault}, seeds)
+			var counts []int
+			var delays []time.Duration
+			faulty, period, arrivals := 0, 0, 0.0
+			for _, e := range endings {
+				require.Equal(t, Undo, e.action)
+				counts = append(counts, e.faulty)
+				delays = append(delays, e.at-e.from)
+				faulty += e.faulty
+				period += e.faultyPeriod
+				arrivals += 2 * rate * float64(Steps[stepIndex(e.step)]) / 100 * (window + reportLag + tick).Seconds() / seeds
+			}
+			slices.Sort(counts)
+			slices.Sort(delays)
+			allowed := 2*requestsToUndo(c.bound, oldRate, c.bad) + arrivals
+			mean := float64(faulty) / seeds
+			t.Logf("requests on the faulty version: mean %.1f (allowed %.1f), median %d, most %d; share of the traffic while faulty %.2f%%; delay median %v, longest %v; e.g. %s",
+				mean, allowed, counts[seeds/2], counts[seeds-1], 100*float64(faulty)/float64(period), delays[seeds/2], delays[seeds-1], endings[0].reason)
+			assert.LessOrEqual(t, mean, allowed)
+			assert.LessOrEqual(t, float64(faulty)/float64(period), c.share)
+		})
+	}
+}
