--- a/internal/changelog/fold.go
+++ b/internal/changelog/fold.go
@@ -3,6 +3,7 @@
 package changelog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -98,6 +99,7 @@
 	if err != nil {
 		return err
 	}
+	previous := next.Text
 	next.Text = text
 	for _, r := range next.Rollouts {
 		if r.State != entity.RolloutRunning {
@@ -108,6 +110,7 @@
 				"the text leaves out service %q or a version of its running rollout from %q to %q; finish or undo the rollout first", r.Service, r.From, r.To)
 		}
 	}
+	next.Rollouts = endedByText(next.Rollouts, previous, text)
 	for name := range next.DataCentresOut {
 		if !slices.Contains(text.DataCentres, name) {
 			next.DataCentresOut = withFlag(next.DataCentresOut, name, false)
@@ -116,6 +119,26 @@
 	return nil
 }
 
+// endedByText leaves out the finished and undone rollouts of services whose
+// versions or shares the new text changes: from then on the text decides again.
+func endedByText(rollouts map[string]entity.Rollout, previous, text *entity.ServiceText) map[string]entity.Rollout {
+	kept := make(map[string]entity.Rollout, len(rollouts))
+	for name, r := range rollouts {
+		if r.State == entity.RolloutRunning || sameVersions(previous, text, name) {
+			kept[name] = r
+		}
+	}
+	return kept
+}
+
+func sameVersions(previous, text *entity.ServiceText, service string) bool {
+	a, okA := (&entity.Configuration{Text: previous}).Service(service)
+	b, okB := (&entity.Configuration{Text: text}).Service(service)
+	return okA && okB && slices.EqualFunc(a.Versions, b.Versions, func(x, y entity.Version) bool {
+		return x.Name == y.Name && x.Share == y.Share
+	})
+}
+
 func hasVersion(service entity.Service, name string) bool {
 	return slices.ContainsFunc(service.Versions, func(v entity.Version) bool { return v.Name == name })
 }
@@ -143,8 +166,8 @@
 	if change.Step > 0 {
 		rollout.Step = min(change.Step, 100)
 	}
-	if service.Rollout.FinishWithin > 0 {
-		rollout.FinishBy = change.At.Add(service.Rollout.FinishWithin)
+	if within := cmp.Or(change.FinishWithin, service.Rollout.FinishWithin); within > 0 {
+		rollout.FinishBy = change.At.Add(within)
 	}
 	setRollout(next, rollout)
 	return nil
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -16,8 +16,8 @@
 type owned struct {
 	owner *Owner
 	key   digestKey
-	// firstID is the first permit identifier of this owner; permits below it are of previous owners.
-	firstID uint64
+	// idBase tells the permits of this owner from those of others.
+	idBase uint64
 
 	mu      sync.Mutex
 	conf    entity.Pool
@@ -28,6 +28,8 @@
 	polls   map[string]*poller
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// granting is set while the right to grant has lasted without interruption.
+	granting bool
 }
 
 // waiter is a request that waits for its permit, or whose answer waits to be collected.
@@ -182,8 +184,14 @@
 // decide carries out the decisions of the state. The caller holds the lock.
 func (w *owned) decide() {
 	if w.mayGrant() != nil {
+		w.granting = false
 		return
 	}
+	if now := w.owner.now(); !w.granting {
+		// Another daemon may have granted before; what runs is learned from digests and load reports.
+		w.granting = true
+		w.state.HoldUntil(now, now)
+	}
 	for _, command := range w.state.Decide(w.owner.now()) {
 		switch c := command.(type) {
 		case pool.Grant:
@@ -278,7 +286,7 @@
 	if unknown := w.state.Progress(now, []pool.Progress{r.Progress}); len(unknown) == 0 {
 		return true
 	}
-	if r.Permit.ID >= w.firstID {
+	if pool.SameIssuer(r.Permit.ID, w.idBase) {
 		return false // a permit of this owner that has ended
 	}
 	w.state.Adopt(now, []pool.AdoptedPermit{{
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -63,7 +63,7 @@
 
 // Sync takes over pools that the current view gives to this daemon, applies the
 // configuration and drops pools that belong to others now.
-func (o *Owner) Sync(ctx context.Context, conf *entity.Configuration, epoch uint64, hold time.Duration) {
+func (o *Owner) Sync(ctx context.Context, conf *entity.Configuration, epoch uint64) {
 	wanted := map[digestKey]entity.Pool{}
 	if conf != nil && conf.Text != nil {
 		for _, p := range conf.Text.Pools {
@@ -89,7 +89,7 @@
 			own.configure(p, out)
 			continue
 		}
-		own := o.newOwned(key, p, epoch, hold)
+		own := o.newOwned(key, p, epoch)
 		own.configure(p, out)
 		o.pools[key] = own
 		own.start(ctx)
@@ -127,6 +127,17 @@
 	return len(a.role) - len(b.role)
 }
 
+// Reset drops all pools, for a daemon that was removed from the view and joined
+// again: other daemons granted in the meantime.
+func (o *Owner) Reset() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key, own := range o.pools {
+		own.stop()
+		delete(o.pools, key)
+	}
+}
+
 // Run makes decisions each tick until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -184,16 +195,14 @@
 	return result
 }
 
-func (o *Owner) newOwned(key digestKey, p entity.Pool, epoch uint64, hold time.Duration) *owned {
-	now := o.now()
+func (o *Owner) newOwned(key digestKey, p entity.Pool, epoch uint64) *owned {
 	deputy := key.role == RoleDeputy
 	state := pool.New(pool.Config{
 		Pool: p, Seed: xxhash.Sum64String(key.pool), Reserve: o.Reserve, Deputy: deputy, PermitTerm: Term,
 	})
 	state.SetNextPermitID(pool.PermitIDBase(epoch, deputy))
-	state.HoldUntil(now, now.Add(hold))
 	return &owned{
-		owner: o, key: key, conf: p, state: state, firstID: pool.PermitIDBase(epoch, deputy),
+		owner: o, key: key, conf: p, state: state, idBase: pool.PermitIDBase(epoch, deputy),
 		waiters: map[string]*waiter{}, holders: map[uint64]*holderOf{}, polls: map[string]*poller{},
 	}
 }
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -102,6 +102,9 @@
 // GrantedByDeputy reports whether a deputy granted the permit.
 func GrantedByDeputy(permitID uint64) bool { return permitID>>counterBits&1 == 1 }
 
+// SameIssuer reports whether one owner or deputy issued both permits in one epoch.
+func SameIssuer(a, b uint64) bool { return a>>counterBits == b>>counterBits }
+
 // SetNextPermitID sets the identifier of the next permit; see PermitIDBase.
 func (s *State) SetNextPermitID(id uint64) { s.nextID = id }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -125,7 +125,7 @@
 	t.held.Release(outcome, false)
 	if r.Evidence != nil {
 		r.Evidence.Observe(Observation{
-			Service: call.Service.Name, Account: call.Account.Name, Version: t.version.Name,
+			Service: call.Service.Name, Account: call.Account.Name, Version: t.version.Name, RolloutStep: t.step,
 			Success: err == nil && response.Status < 500, FirstToken: time.Since(startedAt),
 		})
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -151,7 +151,7 @@
 func (g *generation) token(t target, generation string, offset int) stream.ResumeToken {
 	p := t.held.Permit()
 	return stream.ResumeToken{
-		Request: g.call.RequestID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name,
+		Request: g.call.RequestID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name, RolloutStep: t.step,
 		Pool: t.pool.Name, Upstream: t.upstream.Name, Address: t.upstream.Address, Incarnation: p.Incarnation,
 		Generation: generation, Offset: offset, Permit: p.ID, Fingerprint: g.call.fingerprint(), PromptTokens: promptTokens(g.call),
 	}
@@ -273,7 +273,7 @@
 	}
 	p := t.held.Progress()
 	g.relay.Evidence.Observe(Observation{
-		Service: g.call.Service.Name, Account: g.call.Account.Name, Version: t.version.Name,
+		Service: g.call.Service.Name, Account: g.call.Account.Name, Version: t.version.Name, RolloutStep: t.step,
 		Success: success, FirstToken: p.FirstToken, Step: p.StepTime,
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,19 +48,20 @@
 
 // Observation is the result of one request on one version.
 type Observation struct {
-	Service    string
-	Account    string
-	Version    string
-	Success    bool
-	FirstToken time.Duration
-	Step       time.Duration
+	Service     string
+	Account     string
+	Version     string
+	RolloutStep int
+	Success     bool
+	FirstToken  time.Duration
+	Step        time.Duration
 }
 
 // Budget limits retries. Implementations are safe for concurrent use.
 type Budget interface {
 	// Attempt counts a first attempt.
 	Attempt()
-	// Retry reports whether one more attempt is allowed now.
+	// Retry reports whether one more attempt is allowed now, and takes it.
 	Retry() bool
 }
 
@@ -115,6 +116,7 @@
 	held     *permit.Held
 	pool     entity.Pool
 	version  entity.Version
+	step     int // of the rollout in which the version was assigned
 	upstream entity.Upstream
 }
 
@@ -124,7 +126,7 @@
 	if err := r.checkDependencies(conf, call.Service); err != nil {
 		return target{}, err
 	}
-	version, err := pickVersion(conf, call.Service, call.fingerprint())
+	version, step, err := pickVersion(conf, call.Service, call.fingerprint())
 	if err != nil {
 		return target{}, err
 	}
@@ -132,6 +134,7 @@
 	for _, p := range r.rankPools(conf, version) {
 		t, err := r.acquireFrom(ctx, call, version, p, exclude)
 		if err == nil {
+			t.step = step
 			return t, nil
 		}
 		last = err
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -110,7 +110,7 @@
 	client := permit.NewClient(&localCaller{owner}, soleMember{}, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
-	owner.Sync(ctx, conf, 1, 0)
+	owner.Sync(ctx, conf, 1)
 	loops.Go(func() { owner.Run(ctx) })
 	loops.Go(func() { client.Run(ctx) })
 	t.Cleanup(func() { cancel(); loops.Wait() })
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -5,18 +5,29 @@
 
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/rollout"
 )
 
-// pickVersion maps the fingerprint of a request to a version by the versions' shares.
-func pickVersion(conf *entity.Configuration, service entity.Service, fingerprint uint64) (entity.Version, error) {
+// pickVersion maps the fingerprint of a request to a version, by the rollout of
+// the service if there is one, else by the versions' shares. step is the rollout's
+// step, 0 outside a rollout.
+func pickVersion(conf *entity.Configuration, service entity.Service, fingerprint uint64) (version entity.Version, step int, err error) {
+	if r, ok := conf.Rollouts[service.Name]; ok {
+		name := rollout.Assign(r, service, fingerprint)
+		for _, v := range service.Versions {
+			if v.Name == name {
+				return v, r.Step, nil
+			}
+		}
+	}
 	point := int(fingerprint % 100)
 	for _, v := range service.Versions {
 		if point < v.Share {
-			return v, nil
+			return v, 0, nil
 		}
 		point -= v.Share
 	}
-	return entity.Version{}, failure.NotRun(failure.NoUpstream, "service %s has no version with a share", service.Name)
+	return entity.Version{}, 0, failure.NotRun(failure.NoUpstream, "service %s has no version with a share", service.Name)
 }
 
 // rankPools orders the pools of the version: pools of this data centre with free
