--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -151,7 +151,7 @@
 func (g *generation) token(t target, generation string, offset int) stream.ResumeToken {
 	p := t.held.Permit()
 	return stream.ResumeToken{
-		Request: g.call.RequestID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name, RolloutStep: t.step,
+		Request: g.call.RequestID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name,
 		Pool: t.pool.Name, Upstream: t.upstream.Name, Address: t.upstream.Address, Incarnation: p.Incarnation,
 		Generation: generation, Offset: offset, Permit: p.ID, Fingerprint: g.call.fingerprint(), PromptTokens: promptTokens(g.call),
 	}
