--- a/internal/changelog/fold.go
+++ b/internal/changelog/fold.go
@@ -122,6 +122,9 @@
 // endedByText leaves out the finished and undone rollouts of services whose
 // versions or shares the new text changes: from then on the text decides again.
 func endedByText(rollouts map[string]entity.Rollout, previous, text *entity.ServiceText) map[string]entity.Rollout {
+	if len(rollouts) == 0 {
+		return rollouts
+	}
 	kept := make(map[string]entity.Rollout, len(rollouts))
 	for name, r := range rollouts {
 		if r.State == entity.RolloutRunning || sameVersions(previous, text, name) {
