--- /dev/null
+++ b/internal/callerclient/client.go
@@ -0,0 +1,224 @@
+// Package callerclient is a caller of rattanscale: it asks hosts which host to
+// use, follows handovers and resumes broken streams. It checks that the tokens of
+// an answer are complete, in order and of one generation.
+package callerclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/callerapi"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/stream"
+)
+
+const (
+	// resumeAttempts bounds the attempts to continue a broken stream. Together
+	// with resumePause they span the time for which an engine keeps a generation.
+	resumeAttempts = 20
+	resumePause    = 100 * time.Millisecond
+	hostsTimeout   = 2 * time.Second
+)
+
+// ErrIncomplete reports tokens that are missing, repeated or of another generation.
+var ErrIncomplete = errors.New("answer is not complete")
+
+// Client sends requests. Its fields are set once before use; it is safe for concurrent use.
+type Client struct {
+	// Seeds are caller addresses of any hosts.
+	Seeds      []string
+	Key        string
+	DataCentre string
+	HTTP       *http.Client
+	// Scheme is http or https.
+	Scheme string
+}
+
+// Request is one generate request.
+type Request struct {
+	Service       string
+	Prompt        string
+	MaxTokens     int
+	AcceptRestart bool
+	// OnToken receives the tokens as they arrive; after a restart they begin again.
+	OnToken func(text string)
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	RequestID  string
+	Generation string
+	Tokens     []string
+	Restarts   int
+	Resumes    int
+	// FirstToken is the time from sending the request to the first token; Gaps
+	// holds the times between tokens.
+	FirstToken time.Duration
+	Gaps       []time.Duration
+}
+
+// Hosts asks the seeds, in order, which hosts to use.
+func (c *Client) Hosts(ctx context.Context) ([]callerapi.Host, error) {
+	var last error
+	for _, seed := range c.Seeds {
+		answer, err := c.hostsFrom(ctx, seed)
+		if err == nil && len(answer.Hosts) > 0 {
+			return answer.Hosts, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("no host answered: %w", last)
+}
+
+func (c *Client) hostsFrom(ctx context.Context, address string) (callerapi.HostsAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	var answer callerapi.HostsAnswer
+	response, err := c.send(ctx, http.MethodGet, address, "/v1/hosts?data-centre="+c.DataCentre, nil, nil)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return answer, json.NewDecoder(response.Body).Decode(&answer)
+}
+
+func (c *Client) send(ctx context.Context, method, address, path string, header http.Header, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.Scheme+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		defer func() { _ = response.Body.Close() }()
+		return nil, readRefusal(response)
+	}
+	return response, nil
+}
+
+// Refusal is a typed failure that a host returned.
+type Refusal struct{ failure.BodyError }
+
+// Error returns the message and the remedy.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (remedy: %s)", r.Kind, r.Message, r.Remedy)
+}
+
+func readRefusal(response *http.Response) error {
+	data, _ := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	var body failure.Body
+	if json.Unmarshal(data, &body) != nil || body.Error.Kind == "" {
+		return fmt.Errorf("status %d: %.200s", response.StatusCode, data)
+	}
+	return &Refusal{body.Error}
+}
+
+// Generate sends a request and collects its complete answer. A refusal that
+// names another host, or that proves that nothing ran because of this host's
+// state, is followed once to each known host.
+func (c *Client) Generate(ctx context.Context, request Request) (*Answer, error) {
+	hosts, err := c.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		addresses = append(addresses, h.Address)
+	}
+	body, err := json.Marshal(map[string]any{"prompt": request.Prompt, "max_tokens": request.MaxTokens})
+	if err != nil {
+		return nil, err
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	if request.AcceptRestart {
+		header.Set("Accept-Restart", "1")
+	}
+	for i := 0; i < len(addresses); i++ {
+		sentAt := time.Now()
+		response, sendErr := c.send(ctx, http.MethodPost, addresses[i], "/v1/services/"+request.Service+"/generate", header, body)
+		if sendErr == nil {
+			r := &reader{client: c, request: request, address: addresses[i], sentAt: sentAt, hosts: addresses}
+			r.answer.RequestID = response.Header.Get("X-Request-Id")
+			return r.run(ctx, response)
+		}
+		err = sendErr
+		if next := tryElsewhere(sendErr); next != "" && !slices.Contains(addresses, next) {
+			addresses = append(addresses, next)
+		}
+		if !refusedByHost(sendErr) {
+			break
+		}
+	}
+	return nil, err
+}
+
+// tryElsewhere returns the host that a refusal names.
+func tryElsewhere(err error) string {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Host
+	}
+	return ""
+}
+
+// refusedByHost reports whether the error concerns the host and not the request,
+// so that the request certainly did not run and may be sent to another host.
+func refusedByHost(err error) bool {
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		return true // no connection, or no answer to a generation that may be repeated
+	}
+	switch refusal.Kind {
+	case failure.Draining, failure.Isolated, failure.NotReady:
+		return refusal.NotRun
+	}
+	return false
+}
+
+// CallResult is the answer of a plain service.
+type CallResult struct {
+	RequestID string
+	Status    int
+	Body      []byte
+	Replayed  bool
+}
+
+// Call sends one call of a plain service to the address. It never sends it twice.
+func (c *Client) Call(ctx context.Context, address, service, key string, body []byte) (*CallResult, error) {
+	header := http.Header{"Content-Type": {"application/json"}}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	response, err := c.send(ctx, http.MethodPost, address, "/v1/services/"+service+"/call", header, body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return &CallResult{
+		RequestID: response.Header.Get("X-Request-Id"), Status: response.StatusCode, Body: data,
+		Replayed: response.Header.Get("Idempotency-Replayed") == "true",
+	}, err
+}
+
+// Resume opens the rest of a stream at the address.
+func (c *Client) resume(ctx context.Context, address string, start stream.StartData, last string) (*http.Response, error) {
+	header := http.Header{"Resume-Token": {start.ResumeToken}}
+	if last != "" {
+		header.Set("Last-Event-ID", last)
+	}
+	return c.send(ctx, http.MethodGet, address, "/v1/streams/"+start.Request, header, nil)
+}
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -37,6 +37,7 @@
 		&hostCommand{client: client{environment: env}},
 		&dataCentreCommand{client: client{environment: env}},
 		&rolloutCommand{client: client{environment: env}},
+		&requestCommand{client: client{environment: env}},
 	} {
 		commander.Register(c, "")
 	}
--- /dev/null
+++ b/internal/daemon/budget.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/retry"
+)
+
+// budget makes a retry budget safe for concurrent use. It implements relay.Budget.
+type budget struct {
+	mu     sync.Mutex
+	budget retry.Budget
+}
+
+func (b *budget) Attempt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Attempt()
+}
+
+func (b *budget) Retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Allow(time.Now())
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,263 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/lo"
+
+	"github.com/rattanscale/rattanscale/internal/changelog"
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/operatorapi"
+	"github.com/rattanscale/rattanscale/internal/permit"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+)
+
+const (
+	methodTimeline = "timeline.read"
+	// timelineTimeout bounds the wait for another host's events.
+	timelineTimeout = 2 * time.Second
+	// timelineLimit bounds the events read from one host.
+	timelineLimit = 10_000
+	// watchBuffer is the number of changes that a slow watcher may be behind.
+	watchBuffer = 64
+	// systemOperator names the system itself in the change log.
+	systemOperator = "rattanscale"
+)
+
+// control implements operatorapi.Control. It is safe for concurrent use.
+type control struct {
+	log      *changelog.Log
+	tracker  *membership.Tracker
+	statuses *statuses
+	caller   permit.Caller
+	recorder *timeline.Recorder
+	events   *events
+	// committed tells the peers that a change was committed.
+	committed func()
+}
+
+// Change commits an operator's change.
+func (c *control) Change(ctx context.Context, change entity.Change, expect uint64) (operatorapi.ChangeResult, error) {
+	change.ID = ulid.Make().String()
+	if change.Kind == entity.ChangeRolloutStart {
+		change.From = c.currentVersion(change.Service)
+	}
+	revision, err := c.commit(ctx, change, expect)
+	if err != nil {
+		return operatorapi.ChangeResult{}, err
+	}
+	return operatorapi.ChangeResult{ID: change.ID, Revision: revision, Outcome: operatorapi.OutcomePending}, nil
+}
+
+// commitDecision commits a change that the system itself decided.
+func (c *control) commitDecision(ctx context.Context, change entity.Change) error {
+	change.Operator = systemOperator
+	_, err := c.commit(ctx, change, 0)
+	return err
+}
+
+// commit writes the change if this daemon reaches the store and a strict
+// majority of members; see section 5.8 of the design page.
+func (c *control) commit(ctx context.Context, change entity.Change, expect uint64) (uint64, error) {
+	if err := c.tracker.Snapshot().MayCommit(time.Now()); err != nil {
+		return 0, err
+	}
+	change.At = time.Now().UTC()
+	revision, err := c.log.Commit(ctx, expect, change)
+	if err != nil {
+		return 0, err
+	}
+	c.tracker.SetApplied(time.Now(), c.log.Follower().Revision())
+	c.events.Record("change.committed", "", "change", change.ID, "change-kind", string(change.Kind), "operator", change.Operator)
+	c.committed()
+	return revision, nil
+}
+
+// currentVersion returns the version that carries the traffic of a service: the
+// target of a finished rollout, or the version with the largest share.
+func (c *control) currentVersion(name string) string {
+	conf := c.log.Follower().Configuration()
+	if r, ok := conf.Rollouts[name]; ok {
+		if r.State == entity.RolloutFinished {
+			return r.To
+		}
+		return r.From
+	}
+	service, _ := conf.Service(name)
+	return lo.MaxBy(service.Versions, func(a, b entity.Version) bool { return a.Share > b.Share }).Name
+}
+
+// Outcome returns the state of a change, from the change log alone.
+func (c *control) Outcome(id string) (operatorapi.ChangeResult, bool) {
+	follower := c.log.Follower()
+	change, ok := follower.Find(id)
+	if !ok {
+		return operatorapi.ChangeResult{}, false
+	}
+	conf := follower.Configuration()
+	result := operatorapi.ChangeResult{ID: id, Revision: change.Revision, Outcome: operatorapi.OutcomePending}
+	if change.Kind == entity.ChangeRolloutStart {
+		result.Outcome, result.Reason = c.rolloutOutcome(change)
+		return result, true
+	}
+	if conf.InForce >= change.Revision {
+		result.Outcome = operatorapi.OutcomeInForce
+	}
+	return result, true
+}
+
+// rolloutOutcome finds the entry that ended the rollout.
+func (c *control) rolloutOutcome(started entity.Change) (operatorapi.Outcome, string) {
+	later, _ := c.log.Follower().Since(started.Revision)
+	for _, change := range later {
+		if change.Service != started.Service {
+			continue
+		}
+		switch change.Kind {
+		case entity.ChangeRolloutFinish:
+			return operatorapi.OutcomeFinished, change.Reason
+		case entity.ChangeRolloutUndo:
+			return operatorapi.OutcomeUndone, change.Reason
+		}
+	}
+	return operatorapi.OutcomePending, ""
+}
+
+// Text returns the service text in force and its revision.
+func (c *control) Text() (string, uint64) {
+	follower := c.log.Follower()
+	return follower.Text(), follower.Revision()
+}
+
+// Ready returns a typed failure while this host is not ready.
+func (c *control) Ready() error { return c.tracker.Snapshot().MaySend(time.Now()) }
+
+// Status returns the state at the revision that this host holds.
+func (c *control) Status() operatorapi.Status {
+	conf := c.log.Follower().Configuration()
+	snapshot := c.tracker.Snapshot()
+	return operatorapi.Status{
+		Revision: conf.Revision, InForce: conf.InForce, Configuration: configurationOf(conf),
+		Observed: operatorapi.Observed{
+			Host: snapshot.Self.Name, Epoch: snapshot.View.Epoch, Hosts: hostRows(snapshot),
+			Pools: c.statuses.All(), Store: storeState(snapshot),
+		},
+	}
+}
+
+func storeState(s *membership.Snapshot) string {
+	confirmed := s.ConfirmedAt()
+	switch {
+	case confirmed.IsZero():
+		return "never reached"
+	case s.Fresh(time.Now()):
+		return "confirmed"
+	default:
+		return "not confirmed for " + time.Since(confirmed).Round(time.Second).String()
+	}
+}
+
+func configurationOf(conf *entity.Configuration) operatorapi.Configuration {
+	var out operatorapi.Configuration
+	if conf.Text != nil {
+		for _, name := range conf.Text.DataCentres {
+			out.DataCentres = append(out.DataCentres, operatorapi.DataCentreRow{Name: name, Out: conf.DataCentresOut[name]})
+		}
+		out.Services = lo.Map(conf.Text.Services, func(s entity.Service, _ int) string { return s.Name })
+		out.ClientAccounts = lo.Map(conf.Text.Accounts, func(a entity.ClientAccount, _ int) string { return a.Name })
+	}
+	out.HostsDraining = slices.Sorted(maps.Keys(conf.HostsDraining))
+	for _, name := range slices.Sorted(maps.Keys(conf.Rollouts)) {
+		r := conf.Rollouts[name]
+		out.Rollouts = append(out.Rollouts, operatorapi.RolloutRow{
+			Service: r.Service, From: r.From, To: r.To, Step: r.Step, State: string(r.State), Reason: r.Reason, FinishBy: r.FinishBy,
+		})
+	}
+	return out
+}
+
+func hostRows(s *membership.Snapshot) []operatorapi.HostRow {
+	now := time.Now()
+	return lo.Map(s.Hosts(), func(h membership.Host, _ int) operatorapi.HostRow {
+		row := operatorapi.HostRow{
+			Name: h.Name, DataCentre: h.DataCentre, CallerAddress: h.CallerAddress, OperatorAddress: h.OperatorAddress,
+			Ready: h.Ready, Draining: h.Draining, OpenStreams: h.Streams, Revision: h.Revision,
+		}
+		if !h.Contact.IsZero() {
+			row.HeardSecondsAgo = now.Sub(h.Contact).Seconds()
+		}
+		return row
+	})
+}
+
+// Watch sends the changes above after until ctx ends.
+func (c *control) Watch(ctx context.Context, after uint64, send func(entity.Change) error) error {
+	follower := c.log.Follower()
+	watcher := follower.Watch(watchBuffer)
+	defer watcher.Close()
+	sendSince := func() error {
+		entries, _ := follower.Since(after)
+		for _, change := range entries {
+			if err := send(change); err != nil {
+				return err
+			}
+			after = change.Revision
+		}
+		return nil
+	}
+	if err := sendSince(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case update := <-watcher.Updates():
+			if update.Resync || update.Change.Revision > after {
+				if err := sendSince(); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+// Timeline merges the events of all members. It returns the hosts that did not answer.
+func (c *control) Timeline(ctx context.Context, query operatorapi.TimelineQuery) ([]timeline.Event, []string) {
+	filter := timeline.Filter{Request: query.Request, Kind: timeline.Kind(query.Kind), Limit: timelineLimit}
+	if query.Since > 0 {
+		filter.Since = timeline.At(time.Now().Add(-query.Since))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	lists := [][]timeline.Event{c.recorder.Read(filter)}
+	var missing []string
+	var calls sync.WaitGroup
+	snapshot := c.tracker.Snapshot()
+	for _, member := range snapshot.View.Members {
+		if member.Name == snapshot.Self.Name {
+			continue
+		}
+		calls.Go(func() {
+			var events []timeline.Event
+			err := c.caller.Call(ctx, member.PeerAddress, methodTimeline, filter, &events)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, member.Name)
+				return
+			}
+			lists = append(lists, events)
+		})
+	}
+	calls.Wait()
+	slices.Sort(missing)
+	return timeline.Merge(lists...), missing
+}
--- /dev/null
+++ b/internal/daemon/rollouts.go
@@ -0,0 +1,184 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/permit"
+	"github.com/rattanscale/rattanscale/internal/relay"
+	"github.com/rattanscale/rattanscale/internal/rollout"
+)
+
+const (
+	methodEvidence = "rollout.evidence"
+	// evidenceInterval is the time between a daemon's reports and between verdicts.
+	evidenceInterval = 500 * time.Millisecond
+	evidenceTimeout  = time.Second
+)
+
+// evidenceParams carries a daemon's evidence to the controller of a rollout.
+type evidenceParams struct {
+	Rollout string         `json:"rollout"` // change identifier of the rollout's start
+	Report  rollout.Report `json:"report"`
+}
+
+// committer commits a change decided by the system itself. Implementations are
+// safe for concurrent use.
+type committer interface {
+	commitDecision(ctx context.Context, change entity.Change) error
+}
+
+// rollouts counts this daemon's evidence, reports it to the controllers and
+// decides on the rollouts that this daemon controls. It implements
+// relay.Evidence and is safe for concurrent use.
+type rollouts struct {
+	config  func() *entity.Configuration
+	tracker *membership.Tracker
+	caller  permit.Caller
+	commits committer
+	log     logr.Logger
+	self    membership.Identity
+
+	mu       sync.Mutex
+	counters map[string]*rollout.Counter  // by change identifier
+	evidence map[string]*rollout.Evidence // of controlled rollouts, by change identifier
+}
+
+func newRollouts(config func() *entity.Configuration, tracker *membership.Tracker, caller permit.Caller, log logr.Logger) *rollouts {
+	return &rollouts{
+		config: config, tracker: tracker, caller: caller, log: log, self: tracker.Snapshot().Self,
+		counters: map[string]*rollout.Counter{}, evidence: map[string]*rollout.Evidence{},
+	}
+}
+
+// Observe counts the result of a request for the running rollout of its service.
+func (r *rollouts) Observe(o relay.Observation) {
+	conf := r.config()
+	running, ok := conf.Rollouts[o.Service]
+	if !ok || running.State != entity.RolloutRunning || o.Version != running.From && o.Version != running.To {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counter := r.counters[running.ChangeID]
+	if counter == nil {
+		counter = rollout.NewCounter(r.self.Name, fmt.Sprint(r.self.Incarnation))
+		r.counters[running.ChangeID] = counter
+	}
+	counter.Record(o.RolloutStep, rollout.RouteOf(o.Account, len(conf.Text.Accounts)), o.Version == running.To,
+		rollout.Outcome{Failed: !o.Success, FirstToken: o.FirstToken, MeanStep: o.Step})
+}
+
+// merge takes in a daemon's report.
+func (r *rollouts) merge(p evidenceParams) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.evidence[p.Rollout] == nil {
+		r.evidence[p.Rollout] = rollout.NewEvidence()
+	}
+	r.evidence[p.Rollout].Merge(p.Report)
+}
+
+// run reports and decides until ctx ends.
+func (r *rollouts) run(ctx context.Context) {
+	ticker := time.NewTicker(evidenceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.tick(ctx)
+		}
+	}
+}
+
+func (r *rollouts) tick(ctx context.Context) {
+	conf := r.config()
+	live := map[string]bool{}
+	for _, running := range conf.Rollouts {
+		if running.State != entity.RolloutRunning {
+			continue
+		}
+		live[running.ChangeID] = true
+		r.report(ctx, running)
+		service, ok := conf.Service(running.Service)
+		controller, found := r.tracker.Snapshot().Controller(running.Service)
+		if ok && found && controller.Name == r.self.Name {
+			r.decide(ctx, running, service)
+		}
+	}
+	r.forget(live)
+}
+
+func (r *rollouts) report(ctx context.Context, running entity.Rollout) {
+	r.mu.Lock()
+	counter := r.counters[running.ChangeID]
+	if counter == nil {
+		r.mu.Unlock()
+		return
+	}
+	params := evidenceParams{Rollout: running.ChangeID, Report: counter.Report()}
+	r.mu.Unlock()
+	controller, ok := r.tracker.Snapshot().Controller(running.Service)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	if err := r.caller.Call(ctx, controller.PeerAddress, methodEvidence, params, nil); err != nil {
+		r.log.V(1).Info("evidence was not delivered", "service", running.Service, "controller", controller.Name, "error", err.Error())
+	}
+}
+
+// decide judges a rollout. The identifier of the decision follows from the
+// rollout and its step, so that two controllers in different views cannot both
+// carry out the same step.
+func (r *rollouts) decide(ctx context.Context, running entity.Rollout, service entity.Service) {
+	r.mu.Lock()
+	evidence := r.evidence[running.ChangeID]
+	if evidence == nil {
+		evidence = rollout.NewEvidence()
+		r.evidence[running.ChangeID] = evidence
+	}
+	verdict := rollout.Judge(time.Now(), running, service, evidence)
+	r.mu.Unlock()
+
+	change := entity.Change{Service: running.Service, From: running.From, To: running.To, Reason: verdict.Reason}
+	switch verdict.Action {
+	case rollout.Continue:
+		return
+	case rollout.Step:
+		change.Kind, change.Step = entity.ChangeRolloutStep, verdict.Step
+		change.ID = fmt.Sprintf("%s-step-%d", running.ChangeID, verdict.Step)
+	case rollout.Finish:
+		change.Kind, change.ID = entity.ChangeRolloutFinish, running.ChangeID+"-finish"
+	case rollout.Undo:
+		change.Kind, change.ID = entity.ChangeRolloutUndo, running.ChangeID+"-undo"
+	}
+	if err := r.commits.commitDecision(ctx, change); err != nil {
+		r.log.Info("rollout decision was not committed", "service", running.Service, "action", verdict.Action.String(), "error", err.Error())
+	}
+}
+
+// forget drops the evidence of rollouts that no longer run.
+func (r *rollouts) forget(live map[string]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.counters {
+		if !live[id] {
+			delete(r.counters, id)
+		}
+	}
+	for id := range r.evidence {
+		if !live[id] {
+			delete(r.evidence, id)
+		}
+	}
+}
