Keep the cold limit across epochs, losses and late reports

A property test drives an owner and a deputy over engines that stay cold. It found that a lost engine was retried without a report while requests were still on their way to it, that reports from before the loss cleared its doubt, and that permits started in the same instant as a report were taken as part of it. Each of these admitted one request too many.

--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -144,9 +144,9 @@
 	p := &permit{
 		Permit: Permit{
 			ID: s.nextID, RequestID: r.ID, Upstream: u.name, Incarnation: u.incarnation,
-			Expires: now.Add(s.cfg.PermitTerm),
+			Expires: now.Add(s.cfg.PermitTerm), Alone: alone,
 		},
-		request: *r, granted: now, expected: s.cost(r), alone: alone,
+		request: *r, granted: now, expected: s.cost(r),
 	}
 	s.nextID++
 	s.add(u, p)
--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -16,17 +16,28 @@
 	if s.settleAt.Before(until) {
 		s.settleAt = until
 	}
-	s.unsettled = true
+	s.unsettled, s.complete = true, false
 	for _, u := range s.upstreams {
 		u.proven = false
+		u.assumedTil = until.Add(dispatchTimeout)
+		u.distrust()
+	}
+}
+
+// DeputyChanged tells the owner that the previous deputy may grant until the
+// given time. Its reserve counts as taken until a later report shows the truth.
+func (s *State) DeputyChanged(_, until time.Time) {
+	for _, u := range s.upstreams {
+		u.assumed = Reserve(s.pool.Limits)
+		u.assumedTil = until.Add(dispatchTimeout)
+		u.distrust()
 	}
 }
 
 // Settle ends the new epoch's caution: every member of the previous view has
 // registered its permits, or the previous owner handed over its running set.
 func (s *State) Settle(_ time.Time) {
-	s.unsettled = false
-	s.changed = true
+	s.unsettled, s.complete = false, true
 }
 
 // Adopt registers running permits of a previous owner. Registering a permit
@@ -49,12 +60,8 @@
 			p.started = now
 		}
 		s.add(u, p)
-		// The request ran before: reports that include it must not count it twice.
-		p.granted = s.epochStart
-		u.ghosts = max(u.ghosts-1, 0)
 		u.stale = true
 	}
-	s.changed = true
 }
 
 // settled ends the caution of a new epoch when its time has passed.
@@ -67,7 +74,7 @@
 
 // headroom returns how many more requests an upstream may receive now.
 func (s *State) headroom(now time.Time, u *upstream) int {
-	if u.leaving || u.removed || u.report.Leaving || now.Before(u.pausedTil) || s.isDown(now, u) {
+	if u.leaving || u.removed || u.report.Leaving || u.alone > 0 || now.Before(u.pausedTil) || s.isDown(now, u) {
 		return 0
 	}
 	reserve := Reserve(s.pool.Limits)
@@ -78,12 +85,12 @@
 		reserve = 0
 	}
 	limit, count := u.tracker.Limit(), u.running()
-	if !s.epochStart.IsZero() && !s.reportedSince(u, s.epochStart) && s.needsReports() {
+	if s.unproved(u) {
 		return 0
 	}
 	if !s.settled(now) {
 		limit = min(limit, max(s.pool.Limits.ColdRequests, 1))
-		if s.reportedSince(u, s.epochStart) {
+		if u.hasReport {
 			count = max(count, u.report.Running+u.grantsSince(u.reportTaken))
 		}
 	}
@@ -93,8 +100,14 @@
 // needsReports tells whether the upstreams of the pool send load reports.
 func (s *State) needsReports() bool { return s.pool.Kind != entity.KindPlain }
 
-func (s *State) reportedSince(u *upstream, t time.Time) bool {
-	return u.hasReport && !u.reportTaken.Before(t)
+// unproved reports whether, in a new epoch, no report shows yet what requests of
+// the previous owner run on the upstream. Reports from before the end of the
+// previous owner's lease, or from before its last grants arrived, do not count.
+func (s *State) unproved(u *upstream) bool {
+	if s.epochStart.IsZero() || s.complete || !s.needsReports() {
+		return false
+	}
+	return !u.hasReport || u.reportTaken.Before(s.holdUntil.Add(dispatchTimeout))
 }
 
 // deputyHeadroom keeps the deputy within its reserve. A new deputy grants to a
@@ -124,7 +137,7 @@
 
 // proveReserve notes a report after which the owner's part can no longer grow into the reserve.
 func (s *State) proveReserve(u *upstream) {
-	if u.reportTaken.Before(s.holdUntil) {
+	if u.down || u.reportTaken.Before(s.holdUntil.Add(dispatchTimeout)) {
 		return
 	}
 	others := u.report.Running - len(u.permits)
@@ -136,14 +149,14 @@
 // proveEnded frees slots of cancelled permits when a later report shows fewer
 // running requests than permits that may be among them.
 func (s *State) proveEnded(now time.Time, u *upstream) {
-	cutoff := u.reportTaken.Add(-dispatchMargin)
+	cutoff := u.reportTaken.Add(-dispatchTimeout)
 	bound := u.report.Running
 	var ended []*permit
 	for _, p := range u.permits {
 		switch {
 		case p.cancelling && p.cancelSince.Before(cutoff):
 			ended = append(ended, p)
-		case p.started.IsZero() || p.started.After(u.reportTaken):
+		case p.started.IsZero() || !p.started.Before(u.reportTaken):
 			bound++
 		}
 	}
@@ -154,19 +167,12 @@
 	}
 }
 
-// isDown reports whether a lost upstream has not answered yet. Without a report
-// it is tried again after a while.
+// isDown reports whether a lost upstream has not answered yet. Only a report
+// shows that an engine answers again and what it runs; an upstream without
+// reports is tried again after a while.
 func (s *State) isDown(now time.Time, u *upstream) bool {
-	if !u.down {
-		return false
-	}
-	pause := s.cfg.PermitTerm
-	if !s.needsReports() {
-		pause = lostPause
-	}
-	if now.Sub(u.lostAt) >= pause {
+	if u.down && !s.needsReports() && now.Sub(u.lostAt) >= lostPause {
 		u.down = false
-		s.changed = true
 	}
 	return u.down
 }
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -35,6 +35,13 @@
 	s.suspects = append(s.suspects, r)
 }
 
+// begin notes a permit that runs alone, granted here or adopted.
+func (i *isolation) begin(p *permit) {
+	if i.running == nil {
+		i.running, i.upstream = p, p.upstream
+	}
+}
+
 // ended notes that a permit is gone.
 func (i *isolation) ended(now time.Time, s *State, p *permit) {
 	if i.running == p {
@@ -97,7 +104,7 @@
 		return
 	}
 	s.suspects = s.suspects[1:]
-	i.running = s.grant(now, u, &r, true)
+	s.grant(now, u, &r, true)
 }
 
 // reservable picks the upstream with the fewest running requests.
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -41,7 +41,11 @@
 	s.requests[p.RequestID] = p
 	u.permits = append(u.permits, p)
 	s.link(p)
-	s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.alone)
+	if p.Alone {
+		u.alone++
+		s.isolation.begin(p)
+	}
+	s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.Alone)
 }
 
 // drop removes a permit and frees its slot.
@@ -51,9 +55,11 @@
 	if s.requests[p.RequestID] == p {
 		delete(s.requests, p.RequestID)
 	}
+	if p.Alone {
+		p.upstream.alone--
+	}
 	p.upstream.remove(now, p)
 	s.isolation.ended(now, s, p)
-	s.changed = true
 }
 
 // Progress renews permits and learns from their speed. It returns the permits
@@ -88,7 +94,6 @@
 	if r.StepTime <= 0 {
 		return
 	}
-	s.changed = true
 	p.meanStep = r.StepTime
 	if step := u.observe(now, r.StepTime); step > 0 {
 		batch, memory := u.batch()
@@ -193,7 +198,6 @@
 	u.applyReport(now, r)
 	s.proveEnded(now, u)
 	s.proveReserve(u)
-	s.changed = true
 }
 
 // restarted ends the permits that ran before the upstream's previous report.
@@ -234,9 +238,11 @@
 	}
 	s.notices = append(s.notices, s.quarantine.Lost(now, u.name, u.leaving || u.report.Leaving)...)
 	for _, p := range kept {
-		s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.alone)
+		s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.Alone)
 	}
 	// The ended permits ran on what was lost; a report of what runs now does not include them.
 	u.ended = u.ended[:0]
-	u.ghosts = 0
+	u.unknown = 0
+	u.proven = !s.needsReports()
+	u.distrust()
 }
--- /dev/null
+++ b/internal/pool/property_test.go
@@ -0,0 +1,48 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards the cold limit and the uniqueness of permits under any interleaving of
+// calls, lost holders, lost engines, late reports and changes of epoch.
+func TestColdLimitUnderAnyInterleaving(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		anyone := func() *State {
+			states := []*State{w.owner, w.owner, w.deputy}
+			for _, o := range w.old {
+				states = append(states, o.state)
+			}
+			return states[rapid.IntRange(0, len(states)-1).Draw(t, "authority")]
+		}
+		steps := map[string]func(){
+			"acquire": func() { w.acquire(anyone()) }, "decide": func() { w.decide(anyone()) },
+			"acquire-owner":  func() { w.acquire(w.owner); w.decide(w.owner) },
+			"acquire-deputy": func() { w.acquire(w.deputy); w.decide(w.deputy) },
+			"dispatch":       w.dispatch, "progress": w.progress, "finish": w.finish, "break": w.breakStream,
+			"never-send": w.neverSend, "lose-holder": w.loseHolder, "report": w.takeReport,
+			"deliver": w.deliverReport, "fresh-report": func() { w.takeReport(); w.deliverReport() },
+			"crash": w.crash, "cancel": w.cancel, "epoch": w.changeEpoch, "register": w.register, "settle": w.settle,
+			"short": func() { w.pass(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond) },
+			"long":  func() { w.pass(time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second) },
+		}
+		names := []string{
+			"acquire", "acquire-owner", "acquire-owner", "acquire-deputy", "break", "cancel", "crash", "decide",
+			"deliver", "dispatch", "dispatch", "epoch", "finish", "fresh-report", "fresh-report", "long",
+			"lose-holder", "never-send", "progress", "progress", "register", "register", "report", "settle", "short", "short",
+		}
+		for range rapid.IntRange(100, 500).Draw(t, "steps") {
+			steps[rapid.SampledFrom(names).Draw(t, "step")]()
+		}
+		total += w.granted
+	})
+	if total == 0 {
+		t.Fatal("the interleavings granted nothing")
+	}
+	t.Log("grants checked:", total)
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -48,12 +48,12 @@
 	pending []Command
 	notices []quarantine.Notice
 
-	// changed is set when something happened that may allow a grant.
-	changed    bool
 	epochStart time.Time
 	holdUntil  time.Time
 	settleAt   time.Time
 	unsettled  bool
+	// complete is set when every permit of the previous owner is known.
+	complete bool
 }
 
 // New returns the state of a pool on which nothing runs.
@@ -106,7 +106,7 @@
 // taken out: nothing is granted and waiting requests are refused. Permits that
 // run on a removed upstream stay valid.
 func (s *State) SetPool(now time.Time, p entity.Pool, out bool) {
-	s.pool, s.out, s.changed = p, out, true
+	s.pool, s.out = p, out
 	for _, u := range s.upstreams {
 		u.removed = true
 	}
@@ -152,7 +152,6 @@
 		s.refuse(r.ID, reason, retry)
 		return
 	}
-	s.changed = true
 	if r.Isolated || s.quarantine.ShouldIsolate(now, r.Fingerprint) {
 		s.queueSuspect(r)
 		return
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -69,6 +69,8 @@
 	Upstream    string
 	Incarnation string
 	Expires     time.Time
+	// Alone tells that nothing else may run on the upstream meanwhile.
+	Alone bool
 }
 
 // Progress reports on one running request since the previous report.
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// dispatchMargin bounds the time between a grant and its arrival at the
-	// upstream, and between the end of a request at the upstream and its release.
-	dispatchMargin = time.Second
+	// dispatchTimeout bounds the time between a grant and its arrival at the upstream.
+	dispatchTimeout = 500 * time.Millisecond
+	// endedMemory is how long ended permits are kept for comparison with late reports.
+	endedMemory = 10 * time.Second
+	// cleanReports is the number of consecutive reports without unknown requests
+	// after which an upstream is known to run only what was granted.
+	cleanReports = 2
 	// observationWindow is the interval over which step times of one upstream form one observation.
 	observationWindow = 500 * time.Millisecond
 	// refusalPause keeps new work away from an upstream that refused a request.
@@ -30,7 +34,6 @@
 	tokens      int
 	meanStep    time.Duration
 	expected    float64 // cost charged at the grant
-	alone       bool
 	cancelling  bool
 	cancelSince time.Time
 	cancelSent  time.Time
@@ -42,6 +45,12 @@
 	return admission.Load{Held: p.request.PromptTokens + p.tokens, Produced: p.tokens, Limit: p.request.MaxTokens}
 }
 
+// endedPermit is a permit that a late report may still show as running.
+type endedPermit struct {
+	started time.Time
+	at      time.Time
+}
+
 // upstream is the owner's view of one upstream.
 type upstream struct {
 	name        string
@@ -51,6 +60,7 @@
 	tracker     coldstart.Tracker
 	model       admission.StepModel
 	permits     []*permit
+	alone       int // permits that must have the upstream to themselves
 	profile     admission.Profile
 	stale       bool
 	prefixes    *routing.Prefixes
@@ -58,10 +68,16 @@
 	report      Report
 	reportTaken time.Time
 	hasReport   bool
-	// ghosts counts running requests that the latest report shows beyond the known ones.
-	ghosts int
-	// ended holds the times at which recent permits ended.
-	ended []time.Time
+	// doubt is set while the upstream may run requests that are not known here:
+	// after a change of owner or deputy, and after a loss.
+	doubt bool
+	clean int
+	// unknown counts requests that the latest report shows beyond the known ones.
+	unknown int
+	// assumed stands for unknown until a report taken at or after assumedTil.
+	assumed    int
+	assumedTil time.Time
+	ended      []endedPermit
 	// down is set from a loss until a report shows that the upstream answers again.
 	down      bool
 	lostAt    time.Time
@@ -88,15 +104,17 @@
 }
 
 // running returns the requests that count against the limit.
-func (u *upstream) running() int { return len(u.permits) + u.ghosts }
+func (u *upstream) running() int { return len(u.permits) + max(u.unknown, u.assumed) }
 
 func (u *upstream) remove(now time.Time, p *permit) {
 	if i := slices.Index(u.permits, p); i >= 0 {
 		u.permits = slices.Delete(u.permits, i, i+1)
 	}
 	u.stale = true
-	u.ended = slices.DeleteFunc(u.ended, func(t time.Time) bool { return now.Sub(t) > 10*dispatchMargin })
-	u.ended = append(u.ended, now)
+	u.ended = slices.DeleteFunc(u.ended, func(e endedPermit) bool { return now.Sub(e.at) > endedMemory })
+	if !p.started.IsZero() {
+		u.ended = append(u.ended, endedPermit{started: p.started, at: now})
+	}
 }
 
 // refresh recomputes the predicted future of the batch.
@@ -120,28 +138,53 @@
 		u.incarnation = r.Incarnation
 	}
 	u.tracker.Report(now, taken, r.Cold)
-	if taken.After(u.lostAt) {
+	if !taken.Before(u.lostAt.Add(dispatchTimeout)) {
+		// Requests that were on their way at the loss are in this report.
 		u.down = false
 	}
+	if !taken.Before(u.assumedTil) {
+		u.assumed = 0
+	}
+	u.countUnknown(taken)
+}
+
+// countUnknown compares a report with the permits that certainly ran when it was
+// taken. A permit without progress by then is not counted as known, so the
+// result is too high rather than too low.
+func (u *upstream) countUnknown(taken time.Time) {
+	if !u.doubt {
+		u.unknown = 0
+		return
+	}
 	known := 0
 	for _, p := range u.permits {
-		if !p.granted.After(taken) {
+		if !p.started.IsZero() && p.started.Before(taken) {
 			known++
 		}
 	}
-	for _, t := range u.ended {
-		if t.After(taken.Add(-dispatchMargin)) {
+	for _, e := range u.ended {
+		if e.started.Before(taken) && e.at.After(taken) {
 			known++
 		}
 	}
-	u.ghosts = max(r.Running-known, 0)
+	u.unknown = max(u.report.Running-known, 0)
+	if u.unknown > 0 || u.down || taken.Before(u.assumedTil) {
+		u.clean = 0
+		return
+	}
+	if u.clean++; u.clean >= cleanReports {
+		u.doubt = false
+	}
 }
 
+// distrust makes the next reports count until they show only known requests.
+func (u *upstream) distrust() { u.doubt, u.clean = true, 0 }
+
 // grantsSince counts live permits that may be missing from a report taken at the given time.
 func (u *upstream) grantsSince(taken time.Time) int {
 	n := 0
 	for _, p := range u.permits {
-		if p.started.IsZero() || p.started.After(taken) {
+		if p.started.IsZero() || !p.started.Before(taken) {
 			n++
 		}
 	}
