Add the trace format, the engine model and baseline policies

The format is JSON lines with a strict parser. The engine model runs on virtual time; round robin, least outstanding, fixed concurrency, worst-case reservation and an ideal scheduler drive it through the method set of pool.State.

--- /dev/null
+++ b/internal/replay/engine.go
@@ -0,0 +1,324 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/trace"
+)
+
+// minNoiseFactor bounds the noise from below, so that a step always takes time.
+const minNoiseFactor = 0.5
+
+// job is one request at an engine.
+type job struct {
+	permit       uint64
+	prompt       int
+	output       int
+	priority     int
+	prefixHash   uint64
+	prefixTokens int
+	// produced is the number of tokens delivered. Preemption keeps it.
+	produced int
+	// computed is the number of prompt and output tokens in memory; the job emits
+	// tokens once it has reached prompt + produced.
+	computed int
+	// chunk is the number of tokens that the current step prefills.
+	chunk int
+	// sinceCold is set when the job was sent while the engine was cold.
+	sinceCold bool
+	preempted bool
+	// left is set once the job is no longer at the engine.
+	left bool
+}
+
+// held is the memory that the job holds while it runs.
+func (j *job) held() int { return j.prompt + j.produced }
+
+// engineEvents receives what an engine does.
+type engineEvents interface {
+	token(e *engine, j *job)
+	finished(e *engine, j *job, outcome pool.Outcome)
+	preemption(e *engine, j *job)
+	cached(e *engine, hash uint64, evicted bool)
+	// collapsed is called after a cold engine failed above its limit and lost all jobs.
+	collapsed(e *engine, lost []*job)
+}
+
+// engine models one model engine with continuous batching: each step adds one
+// token to each running job whose prompt is in memory.
+type engine struct {
+	name   string
+	params trace.Engine
+	clock  *clock
+	events engineEvents
+	rng    *rand.Rand
+	cache  prefixCache
+
+	up, cold, leaving bool
+	incarnation       int
+	// waiting jobs are ordered by preemption, priority and arrival; running jobs
+	// by admission, so the last one is the youngest.
+	waiting, running []*job
+	stepping         bool
+	// coldInFlight counts the jobs sent since the engine turned cold.
+	coldInFlight, coldCompleted int
+	violations, maxCold         int
+}
+
+func newEngine(u trace.Upstream, index int, seed uint64, c *clock, events engineEvents) *engine {
+	return &engine{
+		name: u.Name, params: u.Engine, clock: c, events: events, up: true, cold: u.Engine.StartsCold, incarnation: 1,
+		rng:   rand.New(rand.NewPCG(seed, uint64(index)+1)),
+		cache: prefixCache{limit: u.Engine.PrefixCacheTokens},
+	}
+}
+
+func (e *engine) incarnationName() string { return fmt.Sprintf("%s-%d", e.name, e.incarnation) }
+
+// inFlight is the number of jobs at the engine.
+func (e *engine) inFlight() int { return len(e.waiting) + len(e.running) }
+
+func (e *engine) memory() int {
+	total := 0
+	for _, j := range e.running {
+		total += j.held()
+	}
+	return total
+}
+
+// submit sends a job to an engine that is up. It reports false when the engine
+// refuses the job because its prompt can never fit.
+func (e *engine) submit(j *job) bool {
+	if j.prompt+1 > e.params.MemoryTokens {
+		return false
+	}
+	e.enqueue(j)
+	if e.cold {
+		j.sinceCold = true
+		e.coldInFlight++
+		e.maxCold = max(e.maxCold, e.coldInFlight)
+		if e.coldInFlight > e.params.ColdRequests {
+			e.violations++
+			e.collapse()
+			return true
+		}
+	}
+	e.startStep()
+	return true
+}
+
+func (e *engine) enqueue(j *job) {
+	i := len(e.waiting)
+	for i > 0 && before(j, e.waiting[i-1]) {
+		i--
+	}
+	e.waiting = slices.Insert(e.waiting, i, j)
+}
+
+// before orders preempted jobs first, because their callers already read tokens.
+func before(a, b *job) bool {
+	if a.preempted != b.preempted {
+		return a.preempted
+	}
+	return a.priority > b.priority
+}
+
+// cancel removes the job with the permit. The tokens of a step in progress are lost.
+func (e *engine) cancel(permit uint64) bool {
+	match := func(j *job) bool { return j.permit == permit }
+	for _, list := range []*[]*job{&e.waiting, &e.running} {
+		if i := slices.IndexFunc(*list, match); i >= 0 {
+			e.leave((*list)[i])
+			*list = slices.Delete(*list, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+func (e *engine) leave(j *job) {
+	j.left = true
+	if j.sinceCold {
+		j.sinceCold = false
+		e.coldInFlight--
+	}
+}
+
+// turnCold makes the engine cold without a restart. Jobs already at the engine
+// go on slowly and do not count against the cold limit, because no policy could
+// have known.
+func (e *engine) turnCold() {
+	e.cold, e.coldInFlight, e.coldCompleted = true, 0, 0
+	for _, j := range slices.Concat(e.waiting, e.running) {
+		j.sinceCold = false
+	}
+}
+
+// stop ends the process and returns the jobs that it held.
+func (e *engine) stop() []*job {
+	lost := slices.Concat(e.running, e.waiting)
+	e.running, e.waiting = nil, nil
+	e.up, e.coldInFlight = false, 0
+	e.cache.clear()
+	e.incarnation++
+	return lost
+}
+
+// start begins a new incarnation, which is cold.
+func (e *engine) start() {
+	if !e.up {
+		e.up, e.leaving = true, false
+		e.turnCold()
+	}
+}
+
+func (e *engine) collapse() {
+	lost := e.stop()
+	incarnation := e.incarnation
+	e.clock.after(time.Duration(e.params.RestartMS)*time.Millisecond, func() {
+		if e.incarnation == incarnation {
+			e.start()
+		}
+	})
+	e.events.collapsed(e, lost)
+}
+
+// startStep begins a step unless one is in progress or there is no work.
+func (e *engine) startStep() {
+	if e.stepping || !e.up || e.inFlight() == 0 {
+		return
+	}
+	if !e.preempt() {
+		e.admit()
+	}
+	if len(e.running) == 0 {
+		return
+	}
+	prefill := e.planPrefill()
+	e.stepping = true
+	incarnation := e.incarnation
+	e.clock.after(e.stepTime(prefill), func() {
+		e.stepping = false
+		if e.incarnation == incarnation {
+			e.endStep()
+		}
+		e.startStep()
+	})
+}
+
+// preempt makes room for the tokens of the next step and reports whether a job was preempted.
+func (e *engine) preempt() bool {
+	any := false
+	for len(e.running) > 0 && e.memory()+len(e.running) > e.params.MemoryTokens {
+		last := len(e.running) - 1
+		j := e.running[last]
+		e.running = e.running[:last]
+		if last == 0 {
+			e.leave(j)
+			e.events.finished(e, j, pool.Failed)
+			continue
+		}
+		j.computed, j.preempted, any = 0, true, true
+		e.enqueue(j)
+		e.events.preemption(e, j)
+	}
+	return any
+}
+
+// admit moves waiting jobs into the batch while their prompts fit.
+func (e *engine) admit() {
+	memory := e.memory()
+	for len(e.waiting) > 0 && len(e.running) < e.params.MaxBatch {
+		j := e.waiting[0]
+		if memory+j.held()+len(e.running)+1 > e.params.MemoryTokens {
+			return
+		}
+		e.waiting = slices.Delete(e.waiting, 0, 1)
+		memory += j.held()
+		j.computed = 0
+		if e.cache.use(j.prefixHash) {
+			// The last prompt token is always computed, because it yields the first output token.
+			j.computed = min(j.prefixTokens, j.held()-1)
+		}
+		e.running = append(e.running, j)
+	}
+}
+
+// planPrefill spreads the step's chunk over the prompts in the order of admission.
+func (e *engine) planPrefill() int {
+	left := e.params.PrefillChunk
+	for _, j := range e.running {
+		j.chunk = min(left, j.held()-j.computed)
+		left -= j.chunk
+	}
+	return e.params.PrefillChunk - left
+}
+
+func (e *engine) stepTime(prefill int) time.Duration {
+	p := e.params
+	us := p.BaseUS + p.PerRequestUS*float64(len(e.running)) + p.PerThousandUS*float64(e.memory())/1000 +
+		p.PrefillPerTokenUS*float64(prefill)
+	if e.cold {
+		us *= p.ColdFactor
+	}
+	us *= max(minNoiseFactor, 1+p.Noise*e.rng.NormFloat64())
+	return time.Duration(us * float64(time.Microsecond))
+}
+
+// endStep delivers one token for each job whose prompt is in memory.
+func (e *engine) endStep() {
+	incarnation := e.incarnation
+	for _, j := range slices.Clone(e.running) {
+		if e.incarnation != incarnation {
+			return // a reaction to a token ended this incarnation
+		}
+		if j.left {
+			continue
+		}
+		prefilling := j.chunk > 0
+		j.computed += j.chunk
+		j.chunk = 0
+		if j.computed < j.held() {
+			continue
+		}
+		if prefilling && j.prefixHash != 0 {
+			e.cacheInsert(j)
+		}
+		j.produced++
+		j.computed++
+		j.preempted = false
+		e.events.token(e, j)
+		if j.produced >= j.output {
+			e.complete(j)
+		}
+	}
+}
+
+func (e *engine) cacheInsert(j *job) {
+	added, evicted := e.cache.insert(j.prefixHash, j.prefixTokens)
+	for _, hash := range evicted {
+		e.events.cached(e, hash, true)
+	}
+	if added {
+		e.events.cached(e, j.prefixHash, false)
+	}
+}
+
+func (e *engine) complete(j *job) {
+	e.running = slices.DeleteFunc(e.running, func(o *job) bool { return o == j })
+	e.leave(j)
+	if e.cold {
+		e.coldCompleted++
+		if e.coldCompleted >= e.params.WarmAfter {
+			e.cold, e.coldInFlight = false, 0
+			for _, o := range slices.Concat(e.waiting, e.running) {
+				o.sinceCold = false
+			}
+		}
+	}
+	e.events.finished(e, j, pool.Completed)
+}
--- /dev/null
+++ b/internal/replay/fairness.go
@@ -0,0 +1,57 @@
+package replay
+
+import "github.com/rattanscale/rattanscale/internal/trace"
+
+// fairness returns Jain's index of the tokens that each account with demand
+// received, relative to its max-min fair part of all tokens delivered. An account
+// that asked for less than its share is entitled to what it asked for.
+func fairness(accounts []trace.Account, demand, received []float64) float64 {
+	total := 0.0
+	for _, x := range received {
+		total += x
+	}
+	entitled := waterFill(accounts, demand, total)
+	sum, squares, n := 0.0, 0.0, 0.0
+	for i := range accounts {
+		if entitled[i] <= 0 {
+			continue
+		}
+		x := received[i] / entitled[i]
+		sum, squares, n = sum+x, squares+x*x, n+1
+	}
+	if n == 0 || squares == 0 {
+		return 1
+	}
+	return sum * sum / (n * squares)
+}
+
+// waterFill divides total among the accounts by share, none above its demand.
+func waterFill(accounts []trace.Account, demand []float64, total float64) []float64 {
+	out := make([]float64, len(accounts))
+	open := make(map[int]float64, len(accounts)) // share of the accounts without a part yet
+	for i, a := range accounts {
+		open[i] = a.Share
+	}
+	for len(open) > 0 {
+		shares := 0.0
+		for i := range accounts {
+			shares += open[i] // in index order, so that the sum does not depend on the map
+		}
+		level, capped := total/shares, false
+		for i, a := range accounts {
+			if _, ok := open[i]; ok && demand[i] <= level*a.Share {
+				out[i], capped = demand[i], true
+				total -= demand[i]
+				delete(open, i)
+			}
+		}
+		if capped {
+			continue
+		}
+		for i, share := range open {
+			out[i] = level * share
+		}
+		return out
+	}
+	return out
+}
--- /dev/null
+++ b/internal/replay/policy.go
@@ -0,0 +1,61 @@
+// Package replay runs a recorded trace against a scheduling policy on virtual
+// time. It models engines only: batching, memory, prefix cache, cold state and
+// late reports. A run is deterministic for a trace, a policy and a seed. Nothing
+// in the package reads the wall clock; a simulation uses no goroutine.
+package replay
+
+import (
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/trace"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// Decider makes the decisions for upstreams. Its methods are those of
+// pool.State, so that replay exercises the code that the daemon runs. A Decider
+// is not safe for concurrent use.
+type Decider interface {
+	Acquire(now time.Time, request pool.Request)
+	Progress(now time.Time, progress []pool.Progress)
+	Release(now time.Time, permitID uint64, outcome pool.Outcome, tokens int)
+	Report(now time.Time, report pool.Report)
+	Lose(now time.Time, upstream string)
+	SetPool(now time.Time, p entity.Pool, out bool)
+	ConfirmCancelled(now time.Time, permitID uint64)
+	Decide(now time.Time) []pool.Command
+}
+
+// CacheObserver is implemented by policies that use the engines' cache events.
+type CacheObserver interface {
+	CacheEvent(now time.Time, upstreamName string, event upstream.CacheEvent)
+}
+
+// Policy schedules the requests of a whole trace: it decides over all pools.
+// SetPool is called once for each pool before the first request.
+type Policy interface{ Decider }
+
+// Factory creates a policy for one run.
+type Factory func(t *trace.Trace, seed uint64) Policy
+
+// DeciderFactory creates the Decider of one pool.
+type DeciderFactory func(p entity.Pool, seed uint64) Decider
+
+// epoch is the wall-clock time of offset 0, so that no time of a run is the zero time.
+var epoch = time.Unix(1_000_000_000, 0).UTC()
+
+// poolEntity converts a pool of a trace to the row that policies receive.
+func poolEntity(p trace.Pool) entity.Pool {
+	out := entity.Pool{
+		Name: p.Name, Kind: entity.KindEngine, DataCentre: p.DataCentre, Fencing: entity.FencingRefusesOld,
+		Limits: entity.Limits{
+			ColdRequests: p.Limits.ColdRequests, MaxRequests: p.Limits.MaxRequests,
+			MemoryTokens: p.Limits.MemoryTokens, TargetStep: p.Limits.TargetStep(),
+		},
+	}
+	for _, u := range p.Upstreams {
+		out.Upstreams = append(out.Upstreams, entity.Upstream{Name: u.Name, Pool: p.Name})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/replay/request.go
@@ -0,0 +1,105 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/trace"
+)
+
+// maxAttempts bounds how often a request whose generation was lost is sent again.
+const maxAttempts = 3
+
+// retryDelay separates the attempts of a request.
+const retryDelay = 50 * time.Millisecond
+
+// status is the state of a request in a run.
+type status int
+
+const (
+	statusWaiting status = iota
+	statusRunning
+	statusRetrying
+	statusCompleted
+	statusFailed
+	statusRefused
+	statusAbandoned
+)
+
+func (s status) final() bool { return s >= statusCompleted }
+
+// request is the state of one arrival during a run.
+type request struct {
+	arrival  trace.Arrival
+	service  trace.Service
+	account  int
+	priority int
+	at       time.Duration
+	deadline time.Duration // 0 when there is none
+	finishBy time.Duration // 0 when there is none
+	counted  bool          // false during the warm-up
+
+	status     status
+	attempts   int
+	current    *attempt
+	abandoned  bool
+	firstToken time.Duration // offset of the first token of the first generation, 0 before it
+	lastToken  time.Duration
+	doneAt     time.Duration
+	gaps, slow int // gaps between tokens, and those above the target
+	stall      time.Duration
+	// preempted is set until the token after a preemption arrives.
+	preempted bool
+	inWindow  int // tokens delivered before the last arrival of the trace
+}
+
+// attempt is one permit in use.
+type attempt struct {
+	request *request
+	permit  uint64
+	engine  *engine
+	job     *job
+	sentAt  time.Duration
+	first   time.Duration // time from dispatch to the first token, 0 before it
+	last    time.Duration
+	// cancelled is set while the engine works on a cancellation.
+	cancelled bool
+	// reportedTokens and reportedAt belong to the last progress digest.
+	reportedTokens int
+	reportedAt     time.Duration
+}
+
+// poolRequest converts a request to the form that policies receive.
+func (s *simulation) poolRequest(r *request) pool.Request {
+	account := s.trace.Header.Accounts[r.account]
+	out := pool.Request{
+		ID: r.arrival.ID, Fingerprint: hashString(r.arrival.ID), Service: r.service.Name, Version: "v1",
+		Account: account.Name, Weight: account.Share, MaxQueued: account.MaxQueued, Priority: r.priority,
+		PromptTokens: r.arrival.PromptTokens, MaxTokens: r.arrival.MaxTokens, PrefixHash: r.arrival.PrefixHash,
+	}
+	if r.deadline > 0 {
+		out.Deadline = epoch.Add(r.deadline)
+	}
+	if r.finishBy > 0 {
+		out.FinishBy = epoch.Add(r.finishBy)
+	}
+	return out
+}
+
+// progress returns the digest entry of an attempt since the last digest.
+func (a *attempt) progress(now time.Duration) pool.Progress {
+	p := pool.Progress{PermitID: a.permit, Tokens: a.job.produced, FirstToken: a.first}
+	from := a.reportedAt
+	tokens := a.job.produced - a.reportedTokens
+	if a.reportedTokens == 0 && tokens > 0 {
+		// The wait for the first token is not a time between tokens.
+		from, tokens = a.sentAt+a.first, tokens-1
+	}
+	if tokens > 0 {
+		p.StepTime = (a.last - from) / time.Duration(tokens)
+	}
+	if a.job.produced > a.reportedTokens {
+		a.reportedTokens, a.reportedAt = a.job.produced, a.last
+	}
+	return p
+}
--- /dev/null
+++ b/internal/replay/workloads.go
@@ -0,0 +1,179 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/trace"
+)
+
+// interactiveDeadline is the queueing limit of interactive services: the first
+// token is due within 1 s, and the prompt needs part of that time.
+const interactiveDeadline = 900 * time.Millisecond
+
+func carriageServices(pools ...string) []trace.Service {
+	return []trace.Service{
+		{Name: "narration", Pools: pools, Delivery: trace.DeliverRestart, Priority: 5, DeadlineMS: interactiveDeadline.Milliseconds()},
+		{Name: "pickup-lookup", Pools: pools, Delivery: trace.DeliverWhole, Priority: 7, DeadlineMS: interactiveDeadline.Milliseconds()},
+	}
+}
+
+func carriageAccounts() []trace.Account {
+	return []trace.Account{
+		{Name: "guides", Share: 3, MaxQueued: 200}, {Name: "drivers", Share: 2, MaxQueued: 200},
+		{Name: "tourists", Share: 2, MaxQueued: 200}, {Name: "museum", Share: 1, MaxQueued: 200},
+	}
+}
+
+func carriageHeader(name, about string, span time.Duration, pools ...trace.Pool) trace.Header {
+	var names []string
+	for _, p := range pools {
+		names = append(names, p.Name)
+	}
+	return trace.Header{
+		Name: name, About: about, SpanMS: span.Milliseconds(), WarmupMS: warmup.Milliseconds(),
+		Pools: pools, Services: carriageServices(names...), Accounts: carriageAccounts(),
+	}
+}
+
+// warmup is the time at the start that the metrics leave out; half of the load
+// arrives in it, so that policies learn lengths and engines fill.
+const warmup = 20 * time.Second
+
+// lookupsPerNarration is the ratio of the two request rates at the square.
+const lookupsPerNarration = 1.5
+
+// square adds narrations at the given share of saturation and lookups beside them.
+func (b *builder) square(start, end time.Duration, load, saturated float64) {
+	b.steady(narrations, start, end, load*saturated)
+	b.steady(lookups, start, end, load*saturated*lookupsPerNarration)
+}
+
+// squareCrowd is a square that fills with tourists beyond saturation and empties again.
+func squareCrowd() *trace.Trace {
+	const span = 240 * time.Second
+	p := standardPool("praha-1", "praha-1", 6)
+	b, most := newBuilder(10), 1.8*saturation(narrations, p, 6)
+	crowd := func(at time.Duration) float64 {
+		x := float64(at) / float64(span)
+		return most * (0.3 + 0.7*4*x*(1-x))
+	}
+	b.poisson(narrations, 0, span, most, crowd)
+	b.poisson(lookups, 0, span, most*lookupsPerNarration, func(at time.Duration) float64 { return lookupsPerNarration * crowd(at) })
+	return b.trace(carriageHeader("square-crowd", "a square crowded with tourists: short lookups beside long narrations", span, p))
+}
+
+// overnightBatch has all its notes at the start and one finishing time.
+func overnightBatch() *trace.Trace {
+	const span, batch = 480 * time.Second, 900
+	p := standardPool("sofia-1", "sofia-1", 4)
+	b := newBuilder(11)
+	// The finishing time leaves a quarter beyond the time that saturated engines need.
+	finishBy := time.Duration(1.25 * batch / saturation(notes, p, 4) * float64(time.Second)).Round(time.Second)
+	for i := range batch {
+		b.arrival(notes, time.Duration(i)*20*time.Millisecond).FinishByMS = finishBy.Milliseconds()
+	}
+	b.steady(changes, 0, span, 1)
+	t := b.trace(trace.Header{
+		Name: "overnight-batch", About: "an overnight batch of route notes with a finishing time, beside changes by customers",
+		SpanMS: span.Milliseconds(), Pools: []trace.Pool{p},
+		Services: []trace.Service{
+			{Name: "route-note", Pools: []string{p.Name}, Delivery: trace.DeliverWhole, Priority: 3},
+			{Name: "bottle-change", Pools: []string{p.Name}, Delivery: trace.DeliverWhole, Priority: 7, DeadlineMS: interactiveDeadline.Milliseconds()},
+		},
+		Accounts: []trace.Account{{Name: "rounds", Share: 4, MaxQueued: 2 * batch}, {Name: "customers", Share: 1, MaxQueued: 200}},
+	})
+	t.Header.Outcomes = append(t.Header.Outcomes, trace.Outcome{
+		Name: "batch-in-time", Metric: trace.MetricInTime, Of: Ideal, AtLeast: bound(1),
+	})
+	return t
+}
+
+// meanShift doubles the median output length half-way at an unchanged request rate.
+func meanShift() *trace.Trace {
+	const span = 300 * time.Second
+	p := standardPool("praha-1", "praha-1", 5)
+	b, saturated := newBuilder(12), saturation(narrations, p, 5)
+	long := narrations
+	long.output.median *= 2
+	b.square(0, warmup, 0.4, saturated)
+	b.square(warmup, span/2, 0.9, saturated)
+	b.steady(long, span/2, span, 0.9*saturated)
+	b.steady(lookups, span/2, span, 0.9*saturated*lookupsPerNarration)
+	return b.trace(carriageHeader("mean-shift", "heavy-tailed outputs whose median doubles half-way", span, p))
+}
+
+// engineCold has engines that turn cold under load without warning.
+func engineCold() *trace.Trace {
+	const span = 300 * time.Second
+	p := standardPool("praha-1", "praha-1", 6)
+	b, saturated := newBuilder(13), saturation(narrations, p, 6)
+	b.square(0, warmup, 0.4, saturated)
+	b.square(warmup, span, 0.95, saturated)
+	b.event(90*time.Second, trace.UpstreamCold, p.Upstreams[1].Name, "", 0)
+	b.event(130*time.Second, trace.UpstreamLost, p.Upstreams[4].Name, "", 0)
+	b.event(150*time.Second, trace.UpstreamBack, p.Upstreams[4].Name, "", 0)
+	return b.trace(carriageHeader("engine-cold", "an engine turns cold without warning; another dies and comes back cold", span, p))
+}
+
+// engineReclaimed has an engine that is reclaimed at short notice and replaced.
+func engineReclaimed() *trace.Trace {
+	const span = 240 * time.Second
+	p := standardPool("praha-1", "praha-1", 4)
+	b, saturated := newBuilder(14), saturation(narrations, p, 4)
+	b.square(0, warmup, 0.4, saturated)
+	b.square(warmup, span, 0.95, saturated)
+	b.event(70*time.Second, trace.UpstreamReclaimed, p.Upstreams[2].Name, "", 15*time.Second)
+	b.event(170*time.Second, trace.UpstreamBack, p.Upstreams[2].Name, "", 0)
+	return b.trace(carriageHeader("engine-reclaimed", "an engine is reclaimed at 15 s notice and comes back cold", span, p))
+}
+
+// dataCentreMove takes one of two data centres out under load and brings it back
+// with engines that have turned cold.
+func dataCentreMove() *trace.Trace {
+	const span = 240 * time.Second
+	p, q := standardPool("praha-1", "praha-1", 4), standardPool("praha-2", "praha-2", 4)
+	b, saturated := newBuilder(15), saturation(narrations, p, 8)
+	b.square(0, warmup, 0.3, saturated)
+	b.square(warmup, span, 0.75, saturated)
+	b.event(70*time.Second, trace.DataCentreOut, "", "praha-1", 0)
+	for _, u := range p.Upstreams {
+		b.event(149*time.Second, trace.UpstreamCold, u.Name, "", 0)
+	}
+	b.event(150*time.Second, trace.DataCentreBack, "", "praha-1", 0)
+	t := b.trace(carriageHeader("data-centre-move", "a data centre leaves under load and returns with cold engines", span, p, q))
+	t.Header.Outcomes = append(t.Header.Outcomes, trace.Outcome{Name: "planned-stop-cuts-nothing", Metric: trace.MetricCutOff, AtMost: bound(0)})
+	return t
+}
+
+// overload is the workload of the sweep at the given multiple of saturation.
+func overload(name string, times int) *trace.Trace {
+	const span = 180 * time.Second
+	p := standardPool("praha-1", "praha-1", 4)
+	b, saturated := newBuilder(16), saturation(narrations, p, 4)
+	b.square(0, span, 2, saturated)
+	if times == 1 {
+		// Each second request of the double load, so that both traces have one workload.
+		kept := b.events[:0]
+		for i, e := range b.events {
+			if i%2 == 0 {
+				kept = append(kept, e)
+			}
+		}
+		b.events = kept
+	}
+	t := b.trace(carriageHeader(name, "the workload of the overload sweep; 1x is saturation", span, p))
+	t.Header.WarmupMS = 2 * warmup.Milliseconds()
+	if times == 1 {
+		// At saturation no policy can halve the tail of least-outstanding, whose
+		// batches stay small, so the trace states the target itself.
+		i := slices.IndexFunc(t.Header.Outcomes, func(o trace.Outcome) bool { return o.Metric == trace.MetricGapP99 })
+		t.Header.Outcomes[i] = trace.Outcome{Name: "between-tokens", Metric: trace.MetricGapP95, AtMost: bound(float64(p.Limits.TargetStepMS))}
+	}
+	if times == 2 {
+		t.Header.Outcomes = append(t.Header.Outcomes, trace.Outcome{
+			Name: "overload", Metric: trace.MetricGoodput, OfTrace: "overload-1x", AtLeast: bound(0.9),
+		})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/trace/writer.go
@@ -0,0 +1,147 @@
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxOpenArrivals bounds the memory of a Writer: arrivals beyond it are dropped
+// and counted. A daemon serves far fewer requests at one time.
+const maxOpenArrivals = 1 << 16
+
+var (
+	errClosed         = errors.New("trace writer is closed")
+	errUnknownRequest = errors.New("trace writer holds no open arrival with this id")
+)
+
+// Writer writes a trace. Its methods are safe for concurrent use. Output is
+// buffered; an event may be lost when the process dies before Flush. Close
+// flushes, but does not close the underlying writer, which its creator closes.
+type Writer struct {
+	mu      sync.Mutex
+	out     *bufio.Writer
+	open    map[string]Event
+	dropped int
+	err     error // the first write error or errClosed; later calls return it
+}
+
+// NewWriter writes the header and returns a writer for the events. A header
+// without a version or an order gets FormatVersion and OrderCompletion.
+func NewWriter(out io.Writer, h Header) (*Writer, error) {
+	if h.Version == 0 {
+		h.Version = FormatVersion
+	}
+	if h.Order == "" {
+		h.Order = OrderCompletion
+	}
+	w := &Writer{out: bufio.NewWriterSize(out, 64<<10), open: map[string]Event{}}
+	if err := w.line(h); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// Write writes one event.
+func (w *Writer) Write(e Event) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.line(e)
+}
+
+// Arrived notes a request whose output length is not known yet. Nothing is
+// written before Completed.
+func (w *Writer) Arrived(at time.Duration, a Arrival) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.open) >= maxOpenArrivals {
+		w.dropped++
+		return
+	}
+	w.open[a.ID] = Event{AtMS: at.Milliseconds(), Kind: Arrive, Arrival: &a}
+}
+
+// Completed writes the arrival with the output length observed.
+func (w *Writer) Completed(id string, outputTokens int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.open[id]
+	if !ok {
+		return errUnknownRequest
+	}
+	delete(w.open, id)
+	e.Arrival.OutputTokens = outputTokens
+	return w.line(e)
+}
+
+// Forget drops an arrival whose output length stays unknown, for example a refused one.
+func (w *Writer) Forget(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.open, id)
+}
+
+// Dropped returns the number of arrivals that were not recorded because too many were open.
+func (w *Writer) Dropped() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dropped
+}
+
+// Flush writes the buffered events to the underlying writer.
+func (w *Writer) Flush() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.out.Flush()
+	}
+	return w.err
+}
+
+// Close flushes the buffer. Arrivals that have not completed are left out.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err != nil {
+		return w.err
+	}
+	err := w.out.Flush()
+	w.err, w.open = errClosed, nil
+	return err
+}
+
+func (w *Writer) line(v any) error {
+	if w.err != nil {
+		return w.err
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, w.err = w.out.Write(append(text, '\n'))
+	return w.err
+}
+
+// Encode writes the whole trace with its events in order of time.
+func Encode(out io.Writer, t *Trace) error {
+	h := t.Header
+	h.Order = OrderTime
+	w, err := NewWriter(out, h)
+	if err != nil {
+		return err
+	}
+	events := slices.Clone(t.Events)
+	slices.SortStableFunc(events, byTime)
+	for _, e := range events {
+		if err := w.Write(e); err != nil {
+			return err
+		}
+	}
+	return w.Close()
+}
+
+func byTime(a, b Event) int { return int(a.AtMS - b.AtMS) }
