--- a/internal/replay/dispatch.go
+++ b/internal/replay/dispatch.go
@@ -98,6 +98,13 @@
 		s.finish(r, statusAbandoned)
 	case statusRetrying:
 		s.finish(r, statusAbandoned)
+	case statusWaiting:
+		if p, ok := s.policy.(Abandoner); ok {
+			p.Abandon(s.now, r.arrival.ID)
+			s.visible = true
+			s.waiting--
+			s.finish(r, statusAbandoned)
+		}
 	}
 }
 
@@ -116,7 +123,10 @@
 func (s *simulation) grant(p pool.Permit) {
 	r, e := s.requests[p.RequestID], s.byName[p.Upstream]
 	if r == nil || e == nil || r.status != statusWaiting {
-		s.metrics.duplicates++
+		// A grant may cross the departure of the caller; any other one is a fault.
+		if r == nil || !r.abandoned {
+			s.metrics.duplicates++
+		}
 		s.policy.Release(s.now, p.ID, pool.NeverSent, 0)
 		s.visible = true
 		return
@@ -174,7 +184,9 @@
 func (s *simulation) refuse(c pool.Refuse) {
 	r := s.requests[c.RequestID]
 	if r == nil || r.status != statusWaiting {
-		s.metrics.duplicates++
+		if r == nil || !r.abandoned {
+			s.metrics.duplicates++
+		}
 		return
 	}
 	s.waiting--
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -10,7 +10,6 @@
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/pool"
 	"github.com/rattanscale/rattanscale/internal/trace"
-	"github.com/rattanscale/rattanscale/internal/upstream"
 )
 
 // Decider makes the decisions for upstreams. Its methods are those of
@@ -29,7 +28,13 @@
 
 // CacheObserver is implemented by policies that use the engines' cache events.
 type CacheObserver interface {
-	CacheEvent(now time.Time, upstreamName string, event upstream.CacheEvent)
+	CacheEvents(now time.Time, upstream string, events ...pool.CacheEvent)
+}
+
+// Abandoner is implemented by policies that can forget a waiting request. The
+// others learn that the caller left when they grant the permit.
+type Abandoner interface {
+	Abandon(now time.Time, requestID string)
 }
 
 // Policy schedules the requests of a whole trace: it decides over all pools.
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -10,7 +10,6 @@
 
 	"github.com/rattanscale/rattanscale/internal/pool"
 	"github.com/rattanscale/rattanscale/internal/trace"
-	"github.com/rattanscale/rattanscale/internal/upstream"
 )
 
 const (
@@ -47,10 +46,9 @@
 
 	requests map[string]*request
 	permits  map[uint64]*attempt
-	waiting  int // requests that the policy holds
-	open     int // requests that are not final
-	arrivals int // arrivals still to come
-	sequence map[*engine]uint64
+	waiting  int  // requests that the policy holds
+	open     int  // requests that are not final
+	arrivals int  // arrivals still to come
 	visible  bool // the policy has seen something since the last decision
 	ticking  bool
 	window   time.Duration // offset of the last arrival
@@ -70,7 +68,7 @@
 	s := &simulation{
 		trace: t, policy: policy, pools: t.Header.Pools, byName: map[string]*engine{}, poolOf: map[*engine]int{},
 		closedAt: map[*engine]time.Duration{}, requests: map[string]*request{}, permits: map[uint64]*attempt{},
-		sequence: map[*engine]uint64{}, out: make([]bool, len(t.Header.Pools)), now: epoch,
+		out: make([]bool, len(t.Header.Pools)), now: epoch,
 	}
 	s.observe, _ = policy.(CacheObserver)
 	s.metrics = newRecorder(t)
@@ -185,13 +183,12 @@
 
 // cached implements engineEvents. Events are late and some are dropped.
 func (s *simulation) cached(e *engine, hash uint64, evicted bool) {
-	s.sequence[e]++
-	event := upstream.CacheEvent{Sequence: s.sequence[e], Prefix: hash, Evicted: evicted}
+	event := pool.CacheEvent{Prefix: hash, Evicted: evicted}
 	if s.observe == nil || e.rng.Float64() < e.params.CacheGap {
 		return
 	}
 	s.clock.after(time.Duration(e.params.CacheLagMS)*time.Millisecond, func() {
-		s.observe.CacheEvent(s.now, e.name, event)
+		s.observe.CacheEvents(s.now, e.name, event)
 	})
 }
 
