--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -42,6 +42,9 @@
 	needsReport bool
 	turnedAt    time.Time
 	completed   int
+	// turned is set once the upstream was seen to be cold; before, its first
+	// report decides.
+	turned bool
 	step        series
 	first       series
 }
@@ -79,6 +82,7 @@
 
 // Turn makes the upstream cold: a new incarnation, a loss, or evidence.
 func (t *Tracker) Turn(now time.Time) {
+	t.turned = true
 	t.limit = t.limits.Cold
 	t.completed = 0
 	t.awaiting = t.needsReport
@@ -95,14 +99,19 @@
 // Report applies the upstream's own statement about itself, taken at the given time.
 func (t *Tracker) Report(now, taken time.Time, cold bool) {
 	if cold {
-		if !t.awaiting || t.limit != t.limits.Cold {
+		if !t.turned || !t.awaiting || t.limit != t.limits.Cold {
 			t.Turn(now)
 		}
 		t.awaiting = true
 		return
 	}
-	if taken.After(t.turnedAt) {
-		t.awaiting = false
+	if !taken.After(t.turnedAt) {
+		return
+	}
+	t.awaiting = false
+	if !t.turned {
+		// The upstream was warm before this tracker began, for example under another owner.
+		t.turned, t.limit = true, t.limits.Max
 	}
 }
 
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -14,6 +14,10 @@
 	scanDepth = 8
 	// overtakeTime is the wait after which a request that fits nowhere may no longer be overtaken.
 	overtakeTime = 2 * time.Second
+	// stepShare is the part of the target step that the predicted mean step may
+	// take. The rest covers the variation of single steps, most of all the steps
+	// that also process a prompt, so that 95 in 100 stay below the target.
+	stepShare = 0.82
 	// throughputWindow is the interval over which the rate of grants is measured.
 	throughputWindow = time.Second
 	throughputWeight = 0.2
@@ -133,7 +137,7 @@
 		load, fits = max(load, share), share <= 1
 	}
 	if fits && limits.TargetStep > 0 && s.needsReports() {
-		share := float64(u.model.Worst(&u.profile, add)) / float64(limits.TargetStep)
+		share := float64(u.model.Worst(&u.profile, add)) / (stepShare * float64(limits.TargetStep))
 		load, fits = max(load, share), share <= 1
 	}
 	return load, fits || u.running() == 0
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -62,13 +62,13 @@
 	s.isolation.ended(now, s, p)
 }
 
-// Progress renews permits and learns from their speed. It returns the permits
-// that are unknown or no longer valid, so that their holder stops using them.
-func (s *State) Progress(now time.Time, reports []Progress) (unknown []uint64) {
+// Progress renews permits and learns from their speed. Unknown returns those
+// that could not be renewed.
+func (s *State) Progress(now time.Time, reports []Progress) {
 	for _, r := range reports {
 		p := s.permits[r.PermitID]
 		if p == nil || p.cancelling {
-			unknown = append(unknown, r.PermitID)
+			s.unknown = append(s.unknown, r.PermitID)
 			continue
 		}
 		s.unlink(p)
@@ -76,7 +76,14 @@
 		s.link(p)
 		s.progress(now, p, r)
 	}
-	return unknown
+}
+
+// Unknown returns and forgets the permits of past Progress calls that are unknown
+// or no longer valid, so that their holders stop using them or register them.
+func (s *State) Unknown() []uint64 {
+	out := s.unknown
+	s.unknown = nil
+	return out
 }
 
 func (s *State) progress(now time.Time, p *permit, r Progress) {
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -47,6 +47,7 @@
 
 	pending []Command
 	notices []quarantine.Notice
+	unknown []uint64
 
 	epochStart time.Time
 	holdUntil  time.Time
--- a/internal/pool/state_test.go
+++ b/internal/pool/state_test.go
@@ -63,6 +63,7 @@
 // The limit grows with completed requests and not with time.
 func TestRampFollowsCompletedWork(t *testing.T) {
 	s := New(Config{Pool: testPool(entity.KindEngine, 1, engineLimits)})
+	s.Report(t0, Report{Upstream: "e000", Cold: true})
 	now := t0.Add(time.Second)
 	s.Report(now, Report{Upstream: "e000"})
 	require.Equal(t, 2, s.Snapshot(now.Add(time.Hour)).Upstreams[0].Limit)
