--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -41,7 +41,11 @@
 	s.requests[p.RequestID] = p
 	u.permits = append(u.permits, p)
 	s.link(p)
-	s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.alone)
+	if p.Alone {
+		u.alone++
+		s.isolation.begin(p)
+	}
+	s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.Alone)
 }
 
 // drop removes a permit and frees its slot.
@@ -51,18 +55,20 @@
 	if s.requests[p.RequestID] == p {
 		delete(s.requests, p.RequestID)
 	}
+	if p.Alone {
+		p.upstream.alone--
+	}
 	p.upstream.remove(now, p)
 	s.isolation.ended(now, s, p)
-	s.changed = true
 }
 
-// Progress renews permits and learns from their speed. It returns the permits
-// that are unknown or no longer valid, so that their holder stops using them.
-func (s *State) Progress(now time.Time, reports []Progress) (unknown []uint64) {
+// Progress renews permits and learns from their speed. Unknown returns those
+// that could not be renewed.
+func (s *State) Progress(now time.Time, reports []Progress) {
 	for _, r := range reports {
 		p := s.permits[r.PermitID]
 		if p == nil || p.cancelling {
-			unknown = append(unknown, r.PermitID)
+			s.unknown = append(s.unknown, r.PermitID)
 			continue
 		}
 		s.unlink(p)
@@ -70,7 +76,14 @@
 		s.link(p)
 		s.progress(now, p, r)
 	}
-	return unknown
+}
+
+// Unknown returns and forgets the permits of past Progress calls that are unknown
+// or no longer valid, so that their holders stop using them or register them.
+func (s *State) Unknown() []uint64 {
+	out := s.unknown
+	s.unknown = nil
+	return out
 }
 
 func (s *State) progress(now time.Time, p *permit, r Progress) {
@@ -88,7 +101,6 @@
 	if r.StepTime <= 0 {
 		return
 	}
-	s.changed = true
 	p.meanStep = r.StepTime
 	if step := u.observe(now, r.StepTime); step > 0 {
 		batch, memory := u.batch()
@@ -193,7 +205,6 @@
 	u.applyReport(now, r)
 	s.proveEnded(now, u)
 	s.proveReserve(u)
-	s.changed = true
 }
 
 // restarted ends the permits that ran before the upstream's previous report.
@@ -234,9 +245,11 @@
 	}
 	s.notices = append(s.notices, s.quarantine.Lost(now, u.name, u.leaving || u.report.Leaving)...)
 	for _, p := range kept {
-		s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.alone)
+		s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.Alone)
 	}
 	// The ended permits ran on what was lost; a report of what runs now does not include them.
 	u.ended = u.ended[:0]
-	u.ghosts = 0
+	u.unknown = 0
+	u.proven = !s.needsReports()
+	u.distrust()
 }
