--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -28,8 +28,9 @@
 	// changed is the time at which the upstream last turned cold; earlier reports are ignored.
 	changed map[string]time.Time
 	queue   []pool.Request
-	// stale is set when a decision may differ from the last one.
-	stale bool
+	// stale is set when a decision may differ from the last one, unsorted when
+	// requests were added to the queue.
+	stale, unsorted bool
 }
 
 // maxMisses bounds the requests tried in one decision once some did not fit.
@@ -58,7 +59,7 @@
 
 // Acquire implements Decider.
 func (p *idealScheduler) Acquire(_ time.Time, r pool.Request) {
-	p.queue, p.stale = append(p.queue, r), true
+	p.queue, p.stale, p.unsorted = append(p.queue, r), true, true
 }
 
 // Release implements Decider.
@@ -96,12 +97,7 @@
 // among those with the same finishing time the longest first, which shortens the whole.
 func (p *idealScheduler) Decide(now time.Time) []pool.Command {
 	p.turn(now)
-	slices.SortStableFunc(p.queue, func(a, b pool.Request) int {
-		if c := cmp.Or(cmp.Compare(b.Priority, a.Priority), compareFinish(a.FinishBy, b.FinishBy)); c != 0 || a.FinishBy.IsZero() {
-			return c
-		}
-		return cmp.Compare(p.output[b.ID], p.output[a.ID])
-	})
+	p.sort()
 	var commands []pool.Command
 	kept := p.queue[:0]
 	misses := 0
@@ -128,6 +124,19 @@
 	return commands
 }
 
+func (p *idealScheduler) sort() {
+	if !p.unsorted {
+		return
+	}
+	p.unsorted = false
+	slices.SortStableFunc(p.queue, func(a, b pool.Request) int {
+		if c := cmp.Or(cmp.Compare(b.Priority, a.Priority), compareFinish(a.FinishBy, b.FinishBy)); c != 0 || a.FinishBy.IsZero() {
+			return c
+		}
+		return cmp.Compare(p.output[b.ID], p.output[a.ID])
+	})
+}
+
 func compareFinish(a, b time.Time) int {
 	if a.IsZero() != b.IsZero() {
 		if a.IsZero() {
--- a/internal/replay/metrics.go
+++ b/internal/replay/metrics.go
@@ -33,6 +33,7 @@
 	refused          int
 	abandoned        int
 	good, goodAny    int
+	goodTokens       int
 	withFinishBy     int
 	inTime           int
 	demand, received []float64 // by account
@@ -134,5 +135,6 @@
 	}
 	if smooth && started {
 		m.good++
+		m.goodTokens += r.arrival.OutputTokens
 	}
 }
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -25,6 +25,9 @@
 	// condition on the first token.
 	Goodput         float64 `json:"goodput"`
 	GoodputAnyStart float64 `json:"goodput_any_start"`
+	// GoodTokens is the number of output tokens a second in the answers that
+	// Goodput counts; unlike Goodput it does not favour short answers.
+	GoodTokens float64 `json:"good_tokens"`
 
 	StallMS           float64 `json:"stall_ms"`
 	StallPerRequestMS float64 `json:"stall_per_request_ms"`
@@ -65,7 +68,8 @@
 		Trace: s.trace.Header.Name, Policy: policy, Seed: seed,
 		Completed: m.completed, Failed: m.failed, Refused: m.refused, Abandoned: m.abandoned,
 		Goodput: float64(m.good) / m.span.Seconds(), GoodputAnyStart: float64(m.goodAny) / m.span.Seconds(),
-		StallMS: inMS(m.stall), Preemptions: m.preemptions, PreemptionStallMS: inMS(m.preemptionStall),
+		GoodTokens: float64(m.goodTokens) / m.span.Seconds(),
+		StallMS:    inMS(m.stall), Preemptions: m.preemptions, PreemptionStallMS: inMS(m.preemptionStall),
 		GapP50MS: quantileMS(m.gaps, 50), GapP95MS: quantileMS(m.gaps, 95), GapP99MS: quantileMS(m.gaps, 99),
 		FirstP50MS: quantileMS(m.first, 50), FirstP95MS: quantileMS(m.first, 95), FirstP99MS: quantileMS(m.first, 99),
 		Duplicates: m.duplicates, LateDispatches: m.lateDispatches, CutOff: m.cutOff,
@@ -110,6 +114,8 @@
 		return r.Goodput
 	case trace.MetricGoodputAnyStart:
 		return r.GoodputAnyStart
+	case trace.MetricGoodTokens:
+		return r.GoodTokens
 	case trace.MetricStallMS:
 		return r.StallMS
 	case trace.MetricPreemptions:
--- a/internal/trace/types.go
+++ b/internal/trace/types.go
@@ -132,6 +132,7 @@
 const (
 	MetricGoodput         Metric = "goodput"
 	MetricGoodputAnyStart Metric = "goodput_any_start"
+	MetricGoodTokens      Metric = "good_tokens"
 	MetricStallMS         Metric = "stall_ms"
 	MetricPreemptions     Metric = "preemptions"
 	MetricGapP50          Metric = "gap_p50_ms"
@@ -154,7 +155,7 @@
 // Metrics lists every metric in the order of the documentation.
 func Metrics() []Metric {
 	return []Metric{
-		MetricGoodput, MetricGoodputAnyStart, MetricStallMS, MetricPreemptions, MetricGapP50, MetricGapP95,
+		MetricGoodput, MetricGoodputAnyStart, MetricGoodTokens, MetricStallMS, MetricPreemptions, MetricGapP50, MetricGapP95,
 		MetricGapP99, MetricFirstP50, MetricFirstP95, MetricFirstP99, MetricRefused, MetricFailed,
 		MetricUnfinished, MetricFairness, MetricInTime, MetricColdViolations, MetricDuplicates,
 		MetricLateDispatches, MetricCutOff,
