Bound the time between a grant and the dispatch by the owner's clock

A grant that was made between two calls of a requester, or that waited in a buffer of a paused process, could be sent after a new owner had begun to grant.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -45,8 +45,8 @@
 	// turned is set once the upstream was seen to be cold; before, its first
 	// report decides.
 	turned bool
-	step        series
-	first       series
+	step   series
+	first  series
 }
 
 // New returns the tracker of an upstream that is cold. With needsReport, the
--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -24,8 +24,9 @@
 	callTimeout = time.Second
 	// retryPause separates attempts while the pool has no owner that may grant.
 	retryPause = 50 * time.Millisecond
-	// sendMargin is the part of the term that must be left when a request is sent.
-	sendMargin = time.Second
+	// dispatchTimeout is the longest time between a grant and the sending of the
+	// request. New owners count on it when they take over a pool.
+	dispatchTimeout = 500 * time.Millisecond
 )
 
 // Caller calls a method of a peer. Implementations are safe for concurrent use.
@@ -55,7 +56,7 @@
 
 	mu       sync.Mutex
 	running  Running
-	expires  time.Time
+	sendBy   time.Time
 	released bool
 	steps    int
 	lastTok  time.Time
@@ -109,7 +110,8 @@
 		case result.Refusal != nil:
 			return nil, refusalError(poolName, *result.Refusal)
 		case result.Permit != nil:
-			return c.hold(poolName, role, request, *result.Permit, sentAt), nil
+			// The owner granted at the earliest after it had received the call and had waited.
+			return c.hold(poolName, role, request, *result.Permit, sentAt.Add(result.Waited+dispatchTimeout)), nil
 		}
 	}
 }
@@ -156,7 +158,7 @@
 // Adopt registers a stream that was started through another host, so that its
 // permit is renewed by this daemon.
 func (c *Client) Adopt(poolName string, running Running) *Held {
-	held := &Held{client: c, pool: poolName, role: roleOf(running.Permit.ID), running: running, expires: c.now().Add(Term), started: c.now()}
+	held := &Held{client: c, pool: poolName, role: roleOf(running.Permit.ID), running: running, started: c.now()}
 	c.mu.Lock()
 	if previous := c.held[running.Permit.ID]; previous != nil {
 		previous.supersede()
@@ -167,9 +169,9 @@
 	return held
 }
 
-func (c *Client) hold(poolName string, role Role, r pool.Request, p pool.Permit, sentAt time.Time) *Held {
+func (c *Client) hold(poolName string, role Role, r pool.Request, p pool.Permit, sendBy time.Time) *Held {
 	held := &Held{
-		client: c, pool: poolName, role: role, expires: sentAt.Add(Term), started: c.now(),
+		client: c, pool: poolName, role: role, sendBy: sendBy, started: c.now(),
 		running: Running{
 			Permit: p, Fingerprint: r.Fingerprint, Service: r.Service, Version: r.Version,
 			Account: r.Account, PromptTokens: r.PromptTokens, Progress: pool.Progress{PermitID: p.ID},
@@ -184,16 +186,14 @@
 // Permit returns the permit.
 func (h *Held) Permit() pool.Permit { return h.running.Permit }
 
-// MaySend reports whether the permit's term leaves enough time to send the
-// request now. It is checked right before sending, so that a process that was
-// paused sends nothing with an expired permit.
+// MaySend reports whether the request may be sent now. It is checked right before
+// sending, so that a process that was paused sends nothing with an old permit.
 func (h *Held) MaySend() error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now := h.client.now(); now.Add(sendMargin).After(h.expires) {
-		return failure.NotRun(failure.DeadlineExceeded, "the permit expired before the request was sent")
+	now := h.client.now()
+	if now.After(h.sendBy) {
+		return failure.NotRun(failure.DeadlineExceeded, "the permit was granted more than %v before the request could be sent", dispatchTimeout)
 	}
-	return h.client.members.MaySend(h.client.now())
+	return h.client.members.MaySend(now)
 }
 
 // Token records one received token.
@@ -339,38 +339,25 @@
 }
 
 func (c *Client) sendDigest(ctx context.Context, key digestKey, digest *ProgressParams) {
-	sentAt := c.now()
-	var result ProgressResult
 	_, address, ok := c.members.Holder(key.pool, key.role)
 	err := error(failure.New(failure.NoUpstream, "pool %s has no %s", key.pool, key.role))
 	if ok {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		err = c.caller.Call(callCtx, address, MethodProgress, digest, &result)
+		err = c.caller.Call(callCtx, address, MethodProgress, digest, nil)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil {
-		// Finished permits are reported again with the next digest; the owner ignores repetitions.
-		for _, f := range digest.Finished {
-			c.finished[key.pool] = append(c.finished[key.pool], finishedPermit{f, key.role})
-		}
-		c.log.V(1).Info("progress digest failed", "pool", key.pool, "role", key.role, "error", err.Error())
+	if err == nil {
 		return
 	}
-	for _, id := range result.Renewed {
-		if held := c.held[id]; held != nil {
-			held.renew(sentAt.Add(Term))
-		}
+	c.log.V(1).Info("progress digest failed", "pool", key.pool, "role", key.role, "error", err.Error())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Finished permits are reported again with the next digest; the owner ignores repetitions.
+	for _, f := range digest.Finished {
+		c.finished[key.pool] = append(c.finished[key.pool], finishedPermit{f, key.role})
 	}
 }
 
-func (h *Held) renew(expires time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.expires = expires
-}
-
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/permit/messages.go
+++ b/internal/permit/messages.go
@@ -42,6 +42,9 @@
 type AcquireResult struct {
 	Permit  *pool.Permit `json:"permit,omitempty"`
 	Refusal *Refusal     `json:"refusal,omitempty"`
+	// Waited is the time from the receipt of the call to the grant; it is negative
+	// when the grant was made between two calls of the requester.
+	Waited time.Duration `json:"waited,omitempty"`
 }
 
 // Refusal tells why a request gets no permit.
@@ -83,11 +86,6 @@
 	Finished []Finished `json:"finished"`
 }
 
-// ProgressResult confirms a digest. Renewed lists the permits whose term was renewed.
-type ProgressResult struct {
-	Renewed []uint64 `json:"renewed"`
-}
-
 // UpstreamStatus is the owner's view of one upstream.
 type UpstreamStatus struct {
 	Name        string        `json:"name"`
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -28,6 +28,8 @@
 	polls   map[string]*poller
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// deputy is the member that grants from the reserve.
+	deputy string
 	// granting is set while the right to grant has lasted without interruption.
 	granting bool
 }
@@ -37,6 +39,7 @@
 	holder  string
 	answer  chan AcquireResult // nil between two calls of the requester
 	result  *AcquireResult     // set while nobody waits
+	setAt   time.Time          // when result was set
 	askedAt time.Time
 }
 
@@ -95,6 +98,19 @@
 	w.decide()
 }
 
+// deputyIs tells the state when the deputy changes: the previous one may grant
+// until its lease ends.
+func (w *owned) deputyIs(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.deputy == name {
+		return
+	}
+	w.deputy = name
+	now := w.owner.now()
+	w.state.DeputyChanged(now, now.Add(leaseTerm))
+}
+
 // mayGrant is checked right before each decision, so that a process that was
 // paused past its lease grants nothing.
 func (w *owned) mayGrant() error {
@@ -152,11 +168,18 @@
 // deliver hands a result to the waiting call, or keeps it for the next call.
 func (w *owned) deliver(requestID string, waiting *waiter, result AcquireResult) {
 	if waiting.answer == nil {
-		waiting.result, waiting.askedAt = &result, w.owner.now()
+		now := w.owner.now()
+		waiting.result, waiting.setAt, waiting.askedAt = &result, now, now
 		return
 	}
-	if p := result.Permit; p != nil && w.holders[p.ID] == nil {
-		w.holders[p.ID] = &holderOf{current: waiting.holder, request: p.RequestID, upstream: p.Upstream}
+	if p := result.Permit; p != nil {
+		result.Waited = w.owner.now().Sub(waiting.askedAt)
+		if !waiting.setAt.IsZero() {
+			result.Waited = waiting.setAt.Sub(w.owner.now()) // granted before the call came
+		}
+		if w.holders[p.ID] == nil {
+			w.holders[p.ID] = &holderOf{current: waiting.holder, request: p.RequestID, upstream: p.Upstream}
+		}
 	}
 	waiting.answer <- result
 	delete(w.waiters, requestID)
@@ -258,15 +281,12 @@
 	return "", w.conf.Kind, false
 }
 
-func (w *owned) progress(p ProgressParams) ProgressResult {
+func (w *owned) progress(p ProgressParams) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.owner.now()
-	var result ProgressResult
 	for _, r := range p.Running {
-		if w.renew(now, p.Holder, r) {
-			result.Renewed = append(result.Renewed, r.Permit.ID)
-		}
+		w.renew(now, p.Holder, r)
 	}
 	for _, f := range p.Finished {
 		if holder := w.holders[f.PermitID]; holder == nil || holder.accepts(p.Holder) {
@@ -274,20 +294,17 @@
 		}
 	}
 	w.decide()
-	return result
 }
 
-// renew applies one running request of a digest and reports whether its permit was renewed.
-func (w *owned) renew(now time.Time, from string, r Running) bool {
+// renew applies one running request of a digest. Permits of earlier owners are adopted.
+func (w *owned) renew(now time.Time, from string, r Running) {
 	holder := w.holders[r.Permit.ID]
 	if holder != nil && !holder.accepts(from) {
-		return false
-	}
-	if unknown := w.state.Progress(now, []pool.Progress{r.Progress}); len(unknown) == 0 {
-		return true
+		return
 	}
-	if pool.SameIssuer(r.Permit.ID, w.idBase) {
-		return false // a permit of this owner that has ended
+	w.state.Progress(now, []pool.Progress{r.Progress})
+	if len(w.state.Unknown()) == 0 || pool.SameIssuer(r.Permit.ID, w.idBase) {
+		return // renewed, or a permit of this owner that has ended
 	}
 	w.state.Adopt(now, []pool.AdoptedPermit{{
 		Permit: r.Permit, Tokens: r.Progress.Tokens,
@@ -297,7 +314,6 @@
 		},
 	}})
 	w.holders[r.Permit.ID] = &holderOf{current: from, request: r.Permit.RequestID, upstream: r.Permit.Upstream}
-	return true
 }
 
 func (w *owned) finish(now time.Time, f Finished, holder *holderOf) {
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -28,6 +28,8 @@
 	// lostAfter is the number of failed polls in a row after which an upstream is lost.
 	lostAfter     = 3
 	cancelTimeout = time.Second
+	// leaseTerm is the term of a membership lease, after which a previous deputy grants no more.
+	leaseTerm = 3 * time.Second
 )
 
 // Events records the time line. Implementations are safe for concurrent use.
@@ -87,16 +89,27 @@
 		out := conf.DataCentresOut[p.DataCentre]
 		if own := o.pools[key]; own != nil {
 			own.configure(p, out)
+			own.deputyIs(o.deputyOf(key))
 			continue
 		}
 		own := o.newOwned(key, p, epoch)
 		own.configure(p, out)
+		own.deputy = o.deputyOf(key)
 		o.pools[key] = own
 		own.start(ctx)
 		o.events.Record("pool.owned", "", "pool", key.pool, "role", string(key.role))
 	}
 }
 
+// deputyOf returns the deputy that an owner must leave room for.
+func (o *Owner) deputyOf(key digestKey) string {
+	if key.role != RoleOwner {
+		return ""
+	}
+	name, _, _ := o.members.Holder(key.pool, RoleDeputy)
+	return name
+}
+
 func (o *Owner) lookup(poolName string, role Role) (*owned, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -169,12 +182,12 @@
 }
 
 // Progress applies a digest.
-func (o *Owner) Progress(_ context.Context, p ProgressParams) (ProgressResult, error) {
+func (o *Owner) Progress(_ context.Context, p ProgressParams) (struct{}, error) {
 	own, err := o.lookup(p.Pool, p.Role)
-	if err != nil {
-		return ProgressResult{}, err
+	if err == nil {
+		own.progress(p)
 	}
-	return own.progress(p), nil
+	return struct{}{}, err
 }
 
 // Suspect applies another daemon's notices to every pool.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -54,7 +54,9 @@
 		if attempt >= maxAttempts || ctx.Err() != nil || r.Budget != nil && !r.Budget.Retry() {
 			return CallResult{}, callFailure(t, err)
 		}
-		exclude = append(exclude, t.upstream.Name)
+		if !failure.Is(err, failure.DeadlineExceeded) {
+			exclude = append(exclude, t.upstream.Name)
+		}
 		r.Events.Record("request.retried", call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
 	}
 }
@@ -91,7 +93,9 @@
 		if attempt >= maxAttempts || ctx.Err() != nil || r.Budget != nil && !r.Budget.Retry() {
 			return CallResult{}, callFailure(t, err)
 		}
-		exclude = append(exclude, t.upstream.Name)
+		if !failure.Is(err, failure.DeadlineExceeded) {
+			exclude = append(exclude, t.upstream.Name)
+		}
 	}
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -64,7 +64,9 @@
 		if err == nil || !g.mayRetry(ctx, err, attempt) {
 			return err
 		}
-		g.exclude = append(g.exclude, t.upstream.Name)
+		if !failure.Is(err, failure.DeadlineExceeded) { // an old permit says nothing about the upstream
+			g.exclude = append(g.exclude, t.upstream.Name)
+		}
 		g.relay.Events.Record("request.retried", g.call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -40,8 +40,7 @@
 		*result.(*permit.AcquireResult) = out
 		return err
 	case permit.MethodProgress:
-		out, err := c.owner.Progress(ctx, *params.(*permit.ProgressParams))
-		*result.(*permit.ProgressResult) = out
+		_, err := c.owner.Progress(ctx, *params.(*permit.ProgressParams))
 		return err
 	}
 	return fmt.Errorf("no method %s", method)
