--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// registerMetrics registers the gauges of this daemon. docs/operations.md lists them.
+func (d *Daemon) registerMetrics() {
+	gauge := func(name string, value func() float64) { d.metrics.NewGauge(name, value) }
+	gauge("rattanscale_open_streams", func() float64 { return float64(d.caller.OpenStreams()) })
+	gauge("rattanscale_config_revision", func() float64 { return float64(d.follower.Revision()) })
+	gauge("rattanscale_config_in_force_revision", func() float64 { return float64(d.follower.Configuration().InForce) })
+	gauge("rattanscale_view_epoch", func() float64 { return float64(d.tracker.Snapshot().View.Epoch) })
+	gauge("rattanscale_view_members", func() float64 { return float64(len(d.tracker.Snapshot().View.Members)) })
+	gauge("rattanscale_may_send", func() float64 {
+		if d.members.MaySend(time.Now()) != nil {
+			return 0
+		}
+		return 1
+	})
+	gauge("rattanscale_owned_pools", func() float64 { return float64(len(d.owner.Status().Pools)) })
+	gauge("rattanscale_queued_requests", func() float64 {
+		queued := 0
+		for _, p := range d.owner.Status().Pools {
+			queued += p.Queued
+		}
+		return float64(queued)
+	})
+}
+
+func u64(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// countRequest counts a finished request by service and result.
+func (d *Daemon) countRequest(service, result string) {
+	d.metrics.GetOrCreateCounter(fmt.Sprintf("rattanscale_requests_total{service=%q,result=%q}", service, result)).Inc()
+}
--- /dev/null
+++ b/internal/daemon/wiring.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/samber/do/v2"
+
+	"github.com/rattanscale/rattanscale/internal/changelog"
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/peer"
+	"github.com/rattanscale/rattanscale/internal/platform"
+	"github.com/rattanscale/rattanscale/internal/platform/dynamo"
+	"github.com/rattanscale/rattanscale/internal/platform/hostlist"
+	"github.com/rattanscale/rattanscale/internal/platform/memory"
+	"github.com/rattanscale/rattanscale/internal/platform/s3"
+	"github.com/rattanscale/rattanscale/internal/servicetext"
+	"github.com/rattanscale/rattanscale/internal/settings"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+	"github.com/rattanscale/rattanscale/internal/tlsconf"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+	"github.com/rattanscale/rattanscale/internal/upstream/engine"
+	"github.com/rattanscale/rattanscale/internal/upstream/plain"
+)
+
+// hostListTimeout bounds a read of the platform's host list.
+const hostListTimeout = 2 * time.Second
+
+// newInjector provides the parts that other parts share. Everything is built on
+// first use; nothing is started.
+func newInjector(s *settings.Settings, log logr.Logger) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, log)
+	do.ProvideValue(i, timeline.NewClock(time.Now))
+	do.Provide(i, provideTable)
+	do.Provide(i, provideObjects)
+	do.Provide(i, provideHostList)
+	do.Provide(i, provideTLS)
+	do.Provide(i, provideRecorder)
+	do.Provide(i, provideFollower)
+	do.Provide(i, provideLog)
+	do.Provide(i, provideTracker)
+	do.Provide(i, providePeerOptions)
+	do.Provide(i, provideEngine)
+	do.Provide(i, providePlain)
+	return i
+}
+
+func provideTable(i do.Injector) (platform.Table, error) {
+	p := do.MustInvoke[*settings.Settings](i).Platform
+	if p.Table == "memory" {
+		return memory.NewTable(), nil
+	}
+	return dynamo.New(dynamo.Settings{URL: p.TableURL, Table: p.TableName, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey}), nil
+}
+
+// provideObjects returns nil when no object store is set; large service texts are refused then.
+func provideObjects(i do.Injector) (platform.ObjectStore, error) {
+	p := do.MustInvoke[*settings.Settings](i).Platform
+	switch {
+	case p.Table == "memory":
+		return memory.NewObjectStore(), nil
+	case p.ObjectsURL == "":
+		return noObjects{}, nil
+	}
+	return s3.New(s3.Settings{URL: p.ObjectsURL, Bucket: p.Bucket, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey}), nil
+}
+
+func provideHostList(i do.Injector) (platform.HostList, error) {
+	p := do.MustInvoke[*settings.Settings](i).Platform
+	if p.HostListURL == "" {
+		return memory.NewHostList(), nil
+	}
+	return hostlist.New(p.HostListURL, &http.Client{Timeout: hostListTimeout}), nil
+}
+
+func provideTLS(i do.Injector) (*tlsconf.Source, error) {
+	t := do.MustInvoke[*settings.Settings](i).TLS
+	source, err := tlsconf.New(t.Cert, t.Key, t.CA)
+	if err != nil {
+		return nil, failure.New(failure.InvalidSettings, "tls: %v", err)
+	}
+	return source, nil
+}
+
+func provideRecorder(i do.Injector) (*timeline.Recorder, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return timeline.NewRecorder(s.Host.Name, do.MustInvoke[*timeline.Clock](i), s.Timeline.Events), nil
+}
+
+func provideFollower(do.Injector) (*changelog.Follower, error) {
+	return changelog.NewFollower(func(text string) (*entity.ServiceText, error) {
+		return servicetext.Parse("service text", []byte(text))
+	}), nil
+}
+
+func provideLog(i do.Injector) (*changelog.Log, error) {
+	table, err := do.Invoke[platform.Table](i)
+	if err != nil {
+		return nil, err
+	}
+	return changelog.NewLog(table, do.MustInvoke[platform.ObjectStore](i), do.MustInvoke[*changelog.Follower](i)), nil
+}
+
+func provideTracker(i do.Injector) (*membership.Tracker, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	now := time.Now()
+	self := membership.Identity{Name: s.Host.Name, Incarnation: uint64(now.UnixNano())}
+	return membership.NewTracker(s.Host.Cell, self, now), nil
+}
+
+func providePeerOptions(i do.Injector) (peer.Options, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	source, err := do.Invoke[*tlsconf.Source](i)
+	if err != nil {
+		return peer.Options{}, err
+	}
+	return peer.Options{
+		Address: s.Listen.Peer, Key: s.Keys.Peer, ServerTLS: source.Server(true), ClientTLS: source.Client(),
+		Clock: do.MustInvoke[*timeline.Clock](i), Logger: do.MustInvoke[logr.Logger](i),
+	}, nil
+}
+
+func provideEngine(i do.Injector) (upstream.Engine, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return engine.New(engine.Settings{TokenTimeout: s.Limits.TokenTimeout, Credentials: s.UpstreamCreds}), nil
+}
+
+func providePlain(do.Injector) (upstream.Plain, error) { return plain.New(plain.Settings{}), nil }
