Add calls between daemons

jsonrpc2 over framed TCP with mutual proof of the peer key, one connection for each pair, bounded messages and a hybrid-clock timestamp in each frame. Errors tell whether a call was not sent or may have run.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+)
+
+// Client calls other daemons. It keeps one connection to each and dials again
+// with backoff and jitter. It is safe for concurrent use. Its owner calls Close.
+type Client struct {
+	hub    *hub
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	dials  map[string]*dialState
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// dialState is the state of dialling one address.
+type dialState struct {
+	running chan struct{} // closed when the running dial ends; nil when none runs
+	next    time.Time     // no dial before
+	pause   *backoff.ExponentialBackOff
+	err     error
+}
+
+func newClient(h *hub) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{hub: h, ctx: ctx, cancel: cancel, dials: map[string]*dialState{}}
+}
+
+// Call calls a method and decodes its answer into result, which may be nil. A
+// failure that the other daemon reports is returned as *failure.Error. Otherwise
+// the error is ErrUnreachable or ErrClosed if nothing was sent, and ErrNoAnswer if
+// the call may have run. A context without deadline gets the default timeout.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.hub.options.CallTimeout)
+		defer cancel()
+	}
+	if address == c.hub.options.Address {
+		return c.callSelf(ctx, method, params, result)
+	}
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn.active.Add(1)
+	defer conn.active.Add(-1)
+	began := time.Now()
+	waiter, err := conn.rpc.DispatchCall(ctx, method, params)
+	if err != nil {
+		return notSent(address, err)
+	}
+	err = waiter.Wait(ctx, result)
+	switch e := asRPCError(err); {
+	case err == nil:
+		return nil
+	case e != nil:
+		return decodeError(e)
+	case ctx.Err() != nil && time.Since(began) >= stallAfter && conn.stream.lastReceived().Before(began):
+		// Nothing at all arrived since: the link may stall, so a new one is dialled.
+		_ = conn.rpc.Close()
+	case ctx.Err() == nil && !errors.Is(err, jsonrpc2.ErrClosed):
+		return failure.New(failure.Internal, "answer of %s to %s: %v", address, method, err)
+	}
+	return fmt.Errorf("%w: %s to %s: %w", ErrNoAnswer, method, address, err)
+}
+
+// Notify sends a message that has no answer. It returns once the message is written.
+func (c *Client) Notify(ctx context.Context, address, method string, params any) error {
+	if address == c.hub.options.Address {
+		return c.callSelf(ctx, method, params, nil)
+	}
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := conn.rpc.Notify(ctx, method, params); err != nil {
+		return notSent(address, err)
+	}
+	return nil
+}
+
+// notSent reports a message that was not completely written.
+func notSent(address string, err error) error {
+	var refused *failure.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
+}
+
+// callSelf invokes the daemon's own handler with the same encoding as over the wire.
+func (c *Client) callSelf(ctx context.Context, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	value, err := c.hub.invoke(context.WithValue(ctx, remoteKey{}, c.hub.options.Address), method, raw)
+	if err != nil {
+		return failure.From(err)
+	}
+	if result == nil {
+		return nil
+	}
+	if raw, err = json.Marshal(value); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// connect returns the connection to the address; calls at the same time share one dial.
+func (c *Client) connect(ctx context.Context, address string) (*connection, error) {
+	for {
+		running, err := c.start(address)
+		if err != nil {
+			return nil, err
+		}
+		if conn, ok := c.hub.choose(address); ok {
+			return conn, nil
+		}
+		if running == nil {
+			continue // the dial ended between the two looks
+		}
+		select {
+		case <-running:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, ctx.Err())
+		}
+	}
+}
+
+// start makes sure that there is a connection or that a dial runs. It returns the
+// channel that is closed when the dial ends.
+func (c *Client) start(address string) (<-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	if _, ok := c.hub.choose(address); ok {
+		return nil, nil
+	}
+	state := c.dials[address]
+	if state == nil {
+		pause := backoff.NewExponentialBackOff()
+		pause.InitialInterval, pause.MaxInterval = redialFirst, redialLongest
+		state = &dialState{pause: pause}
+		c.dials[address] = state
+	}
+	if state.running != nil {
+		return state.running, nil
+	}
+	if time.Now().Before(state.next) {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, state.err)
+	}
+	done := make(chan struct{})
+	state.running = done
+	c.wg.Go(func() {
+		err := c.dial(address)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		state.running, state.err = nil, err
+		if err == nil {
+			state.pause.Reset()
+			// A connection that breaks at once must not be dialled in a tight loop.
+			state.next, state.err = time.Now().Add(redialFirst), errors.New("the connection was lost")
+		} else {
+			state.next = time.Now().Add(state.pause.NextBackOff())
+		}
+		close(done)
+	})
+	return done, nil
+}
+
+func (c *Client) dial(address string) error {
+	o := c.hub.options
+	if o.Faults.blocked(o.Address, address) || o.Faults.blocked(address, o.Address) {
+		return errors.New("blocked by a test")
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	if o.ClientTLS != nil {
+		config := o.ClientTLS.Clone()
+		if config.ServerName == "" {
+			config.ServerName, _, _ = net.SplitHostPort(address)
+		}
+		conn = tls.Client(conn, config)
+	}
+	defer context.AfterFunc(c.ctx, func() { _ = conn.Close() })()
+	if _, err := dialHandshake(conn, o); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	c.hub.add(conn, address, o.Address)
+	return nil
+}
+
+// Close closes the dialled connections. Calls that wait return ErrNoAnswer.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.wg.Wait()
+	c.hub.closeConns(true)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,143 @@
+// Package peer carries calls between daemons: jsonrpc2 over TCP, one connection
+// for each pair of daemons. The two ends prove to each other that they hold the
+// shared peer key. Every message carries a hybrid-clock timestamp.
+//
+// Message frame: 4 bytes length, big endian, of what follows; 8 bytes timestamp;
+// one JSON-RPC 2.0 object.
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+)
+
+const (
+	lengthBytes = 4
+	clockBytes  = 8
+	headerBytes = lengthBytes + clockBytes
+
+	// DefaultMaxMessage is the default bound of a message's length in bytes. A
+	// delta of the change log with large service texts is the longest message.
+	DefaultMaxMessage = 16 << 20
+	// writeTimeout bounds a write to a peer that reads nothing.
+	writeTimeout = 2 * time.Second
+)
+
+var errBadFrame = errors.New("malformed message")
+
+// encodeFrame appends the frame of the JSON object to buf.
+func encodeFrame(buf *bytes.Buffer, object any, now timeline.Timestamp, maxBytes int) error {
+	var header [headerBytes]byte
+	buf.Write(header[:])
+	if err := json.NewEncoder(buf).Encode(object); err != nil {
+		return err
+	}
+	length := buf.Len() - lengthBytes
+	if length > maxBytes {
+		return failure.NotRun(failure.BodyTooLarge, "a message of %d bytes exceeds the limit of %d between daemons", length, maxBytes)
+	}
+	frame := buf.Bytes()
+	binary.BigEndian.PutUint32(frame, uint32(length))
+	binary.BigEndian.PutUint64(frame[lengthBytes:], uint64(now))
+	return nil
+}
+
+// decodeFrame reads one frame and decodes its object into v. Memory grows with
+// the bytes received, not with the length that the frame claims.
+func decodeFrame(r io.Reader, maxBytes int, v any) (timeline.Timestamp, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return 0, err
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length < clockBytes || int64(length) > int64(maxBytes) {
+		return 0, fmt.Errorf("%w: length %d", errBadFrame, length)
+	}
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(length)-clockBytes); err != nil {
+		return 0, errors.Join(io.ErrUnexpectedEOF, err)
+	}
+	if err := json.Unmarshal(body.Bytes(), v); err != nil {
+		return 0, fmt.Errorf("%w: %w", errBadFrame, err)
+	}
+	return timeline.Timestamp(binary.BigEndian.Uint64(header[lengthBytes:])), nil
+}
+
+// stream is the jsonrpc2.ObjectStream of one connection.
+type stream struct {
+	conn          net.Conn
+	reader        *bufio.Reader
+	options       *Options
+	local, remote string
+
+	write sync.Mutex
+	buf   bytes.Buffer
+
+	mu       sync.Mutex
+	received time.Time // receipt of the latest message
+}
+
+func newStream(conn net.Conn, options *Options, remote string) *stream {
+	return &stream{conn: conn, reader: bufio.NewReader(conn), options: options, local: options.Address, remote: remote}
+}
+
+// keepBuffer is the size up to which a write buffer is kept for the next message.
+const keepBuffer = 64 << 10
+
+// WriteObject writes one message. An oversized message is refused without harm
+// to the connection.
+func (s *stream) WriteObject(object any) error {
+	s.write.Lock()
+	defer s.write.Unlock()
+	s.buf.Reset()
+	if s.buf.Cap() > keepBuffer {
+		s.buf = bytes.Buffer{}
+	}
+	if err := encodeFrame(&s.buf, object, s.options.Clock.Now(), s.options.MaxMessage); err != nil {
+		return err
+	}
+	if s.options.Faults.blocked(s.local, s.remote) {
+		return nil
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := s.conn.Write(s.buf.Bytes()); err != nil {
+		_ = s.conn.Close() // part of the frame may have been sent
+		return err
+	}
+	return nil
+}
+
+// ReadObject reads the next message.
+func (s *stream) ReadObject(v any) error {
+	stamp, err := decodeFrame(s.reader, s.options.MaxMessage, v)
+	if err != nil {
+		return err
+	}
+	s.options.Clock.Observe(stamp)
+	s.mu.Lock()
+	s.received = time.Now()
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *stream) lastReceived() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received
+}
+
+// Close closes the connection.
+func (s *stream) Close() error { return s.conn.Close() }
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,254 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type echo struct {
+	Text string `json:"text"`
+}
+
+type node struct {
+	address string
+	server  *Server
+	client  *Client
+}
+
+func startNode(t testing.TB, options Options, register ...func(*Server)) node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	options.Address = listener.Addr().String()
+	if options.Key == "" {
+		options.Key = "a shared key of the tests"
+	}
+	server, client := New(options)
+	Register(server, "echo", func(_ context.Context, p echo) (echo, error) { return p, nil })
+	Register(server, "refuse", func(context.Context, echo) (echo, error) {
+		return echo{}, failure.NotRun(failure.Draining, "leaving").WithHost("10.0.0.9:80")
+	})
+	Register(server, "wait", func(ctx context.Context, _ echo) (echo, error) {
+		<-ctx.Done()
+		return echo{}, ctx.Err()
+	})
+	Register(server, "panic", func(context.Context, echo) (echo, error) { panic("fault in a handler") })
+	for _, r := range register {
+		r(server)
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		require.NoError(t, client.Close())
+		require.NoError(t, server.Close())
+		require.NoError(t, <-served)
+	})
+	return node{options.Address, server, client}
+}
+
+func (n node) echo(to node, text string) error {
+	var answer echo
+	err := n.client.Call(context.Background(), to.address, "echo", echo{text}, &answer)
+	if err == nil && answer.Text != text {
+		return fmt.Errorf("answer %q to %q", answer.Text, text)
+	}
+	return err
+}
+
+// Guards against failures that lose their kind, the not-run flag or the host on the way.
+func TestTypedErrorsCrossTheWire(t *testing.T) {
+	a, b := startNode(t, Options{}), startNode(t, Options{})
+	for _, to := range []node{b, a} { // also over the short way to itself
+		require.NoError(t, a.echo(to, "hello"))
+		err := a.client.Call(context.Background(), to.address, "refuse", echo{}, nil)
+		require.True(t, failure.Is(err, failure.Draining), "%v", err)
+		assert.True(t, failure.From(err).NotRun())
+		assert.Equal(t, "10.0.0.9:80", failure.From(err).Host())
+		assert.Equal(t, "leaving", failure.From(err).Message())
+		assert.True(t, failure.Is(a.client.Call(context.Background(), to.address, "none", nil, nil), failure.NotFound))
+		assert.True(t, failure.Is(a.client.Call(context.Background(), to.address, "echo", []int{1}, nil), failure.InvalidRequest))
+		assert.True(t, failure.Is(a.client.Call(context.Background(), to.address, "panic", nil, nil), failure.Internal))
+	}
+	assert.NoError(t, a.client.Notify(context.Background(), b.address, "echo", echo{"x"}))
+}
+
+// Guards against more than one lasting connection for a pair, under simultaneous dialling.
+func TestOneConnectionForEachPair(t *testing.T) {
+	a, b := startNode(t, Options{}), startNode(t, Options{})
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() { assert.NoError(t, a.echo(b, "from a")) })
+		wg.Go(func() { assert.NoError(t, b.echo(a, "from b")) })
+	}
+	wg.Wait()
+	ca, _ := a.server.hub.choose(b.address)
+	cb, _ := b.server.hub.choose(a.address)
+	assert.Equal(t, ca.dialler, cb.dialler, "both ends use the same connection")
+	a.server.hub.mu.Lock()
+	for _, c := range a.server.hub.conns[b.address] {
+		c.since = c.since.Add(-retireAfter)
+	}
+	a.server.hub.mu.Unlock()
+	a.server.hub.choose(b.address)
+	a.server.hub.choose(b.address)
+	assert.Len(t, a.server.hub.conns[b.address], 1)
+}
+
+// Guards against a process without the peer key that calls daemons or passes for one.
+func TestWrongKeyIsRefused(t *testing.T) {
+	a, b := startNode(t, Options{}), startNode(t, Options{Key: "another key, not the shared one"})
+	err := b.echo(a, "x")
+	assert.ErrorIs(t, err, ErrUnreachable)
+	assert.ErrorContains(t, a.echo(b, "x"), "keys.peer")
+	mine, theirs := greeting{Nonce: []byte("1")}, greeting{Nonce: []byte("2")}
+	assert.NotEqual(t, sign("key", roleDialler, mine, theirs), sign("key", roleAcceptor, mine, theirs), "no reflection")
+
+	conn, err := net.Dial("tcp", a.address)
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	require.NoError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.Error(t, err, "a foreign protocol is cut off")
+	require.NoError(t, conn.Close())
+}
+
+// Guards against "not run" for a call that may have run, and against a call that
+// hangs when the other daemon goes away.
+func TestLostDaemon(t *testing.T) {
+	a, b := startNode(t, Options{}), startNode(t, Options{})
+	result := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	require.NoError(t, a.echo(b, "connected"))
+	go func() { result <- a.client.Call(ctx, b.address, "wait", echo{}, nil) }()
+	conn, _ := b.server.hub.choose(a.address)
+	require.Eventually(t, func() bool { return conn.active.Load() == 1 }, time.Minute, time.Millisecond)
+	require.NoError(t, conn.rpc.Close())
+	assert.ErrorIs(t, <-result, ErrNoAnswer)
+	require.Eventually(t, func() bool { return a.echo(b, "again") == nil }, time.Minute, time.Millisecond, "reconnects")
+
+	require.NoError(t, b.server.Close())
+	require.NoError(t, b.client.Close())
+	require.Eventually(t, func() bool { return errors.Is(a.echo(b, "x"), ErrUnreachable) }, time.Minute, time.Millisecond)
+	require.NoError(t, a.client.Close())
+	assert.ErrorIs(t, a.echo(b, "x"), ErrClosed)
+}
+
+// Guards against a message blocked in one direction that still arrives.
+func TestFaultHookBlocksOneDirection(t *testing.T) {
+	faults := &Faults{}
+	received := make(chan string, 10)
+	listen := func(s *Server) {
+		Register(s, "tell", func(ctx context.Context, p echo) (echo, error) {
+			received <- Remote(ctx)
+			return p, nil
+		})
+	}
+	a, b := startNode(t, Options{Faults: faults}, listen), startNode(t, Options{Faults: faults}, listen)
+	require.NoError(t, a.echo(b, "connected"))
+	faults.Block(b.address, a.address)
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() { result <- a.client.Call(ctx, b.address, "tell", echo{}, nil) }()
+	assert.Equal(t, a.address, <-received, "the request arrives, its answer does not")
+	cancel()
+	assert.ErrorIs(t, <-result, ErrNoAnswer)
+	faults.Unblock(b.address, a.address)
+	assert.NoError(t, b.client.Call(context.Background(), a.address, "tell", echo{}, nil))
+	assert.Equal(t, b.address, <-received)
+}
+
+// Guards against an oversized message that breaks the connection for everyone.
+func TestOversizedMessages(t *testing.T) {
+	a, b := startNode(t, Options{MaxMessage: 4096}), startNode(t, Options{MaxMessage: 4096}, func(s *Server) {
+		Register(s, "large", func(context.Context, echo) (echo, error) { return echo{strings.Repeat("x", 5000)}, nil })
+	})
+	require.NoError(t, a.echo(b, "connected"))
+	before, _ := a.server.hub.choose(b.address)
+	assert.True(t, failure.Is(a.echo(b, strings.Repeat("x", 5000)), failure.BodyTooLarge))
+	assert.True(t, failure.Is(a.client.Call(context.Background(), b.address, "large", nil, nil), failure.BodyTooLarge))
+	require.NoError(t, a.echo(b, "still connected"))
+	after, _ := a.server.hub.choose(b.address)
+	assert.Same(t, before, after)
+}
+
+// Guards against plain TCP where TLS is set, and against effects that are stamped before their causes.
+func TestTLSAndClock(t *testing.T) {
+	stand := httptest.NewUnstartedServer(nil)
+	stand.StartTLS()
+	defer stand.Close()
+	serverTLS := &tls.Config{Certificates: stand.TLS.Certificates}
+	clientTLS := &tls.Config{InsecureSkipVerify: true} //nolint:gosec // the stand-in's certificate
+	ahead := timeline.NewClock(func() time.Time { return time.Now().Add(30 * time.Second) })
+	behind := timeline.NewClock(time.Now)
+	a := startNode(t, Options{ServerTLS: serverTLS, ClientTLS: clientTLS, Clock: ahead})
+	b := startNode(t, Options{ServerTLS: serverTLS, ClientTLS: clientTLS, Clock: behind})
+	sent := ahead.Now()
+	require.NoError(t, a.echo(b, "x"))
+	assert.Greater(t, behind.Now(), sent)
+	plain := startNode(t, Options{})
+	assert.ErrorIs(t, plain.echo(a, "x"), ErrUnreachable)
+}
+
+// Guards against a panic, an endless loop or an allocation that follows a false length.
+func FuzzDecodeFrame(f *testing.F) {
+	for _, object := range []string{`{"jsonrpc":"2.0","id":1,"method":"m","params":[1]}`, `{"id":1,"result":null}`, `{"id":"x","error":{"code":1}}`, `null`, `[]`, `{}`} {
+		var buf bytes.Buffer
+		_ = encodeFrame(&buf, json.RawMessage(object), 7, 1024)
+		f.Add(buf.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		client, server := net.Pipe()
+		defer client.Close()
+		handled := make(chan struct{})
+		rpc := jsonrpc2.NewConn(context.Background(), newStream(server, Options{MaxMessage: 1024}.withDefaults(), "x"),
+			jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil }),
+			jsonrpc2.SetLogger(rpcLogger{Options{}.withDefaults().Logger}))
+		go func() {
+			_, _ = client.Write(data)
+			_ = client.Close()
+			close(handled)
+		}()
+		buf := make([]byte, 1024)
+		for {
+			if _, err := client.Read(buf); err != nil {
+				break
+			}
+		}
+		<-handled
+		<-rpc.DisconnectNotify()
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	x, y := startNode(b, Options{}), startNode(b, Options{})
+	params := echo{strings.Repeat("x", 60)}
+	b.ReportAllocs()
+	for b.Loop() {
+		var answer echo
+		if err := x.client.Call(context.Background(), y.address, "echo", params, &answer); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+)
+
+// Server answers the calls of other daemons. It is safe for concurrent use. Its
+// owner calls Close.
+type Server struct {
+	hub       *hub
+	mu        sync.Mutex
+	listeners []net.Listener
+}
+
+// New returns a server and a client that share their connections: the client
+// uses a connection that the other daemon dialled, and the server answers calls
+// that arrive over a connection that the client dialled. Both must be closed.
+func New(options Options) (*Server, *Client) {
+	h := newHub(options.withDefaults())
+	return &Server{hub: h}, newClient(h)
+}
+
+// Handle sets the handler of a method. It must be called before Serve and before
+// the client's first call.
+func (s *Server) Handle(method string, handler func(ctx context.Context, params json.RawMessage) (any, error)) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.handlers[method] = handler
+}
+
+// Register sets a handler that takes decoded parameters. Parameters that do not
+// decode are refused as not run.
+func Register[P, R any](s *Server, method string, handler func(ctx context.Context, params P) (R, error)) {
+	s.Handle(method, func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params P
+		if len(raw) > 0 {
+			if err := json.Unmarshal(raw, &params); err != nil {
+				return nil, failure.NotRun(failure.InvalidRequest, "parameters of %s: %v", method, err)
+			}
+		}
+		return handler(ctx, params)
+	})
+}
+
+// Serve accepts connections until Close, and returns nil then. It closes the listener.
+func (s *Server) Serve(listener net.Listener) error {
+	defer listener.Close()
+	if config := s.hub.options.ServerTLS; config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
+	for s.hub.begin() {
+		conn, err := listener.Accept()
+		if err != nil {
+			s.hub.running.Done()
+			if s.hub.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			var temporary net.Error
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			return err
+		}
+		go s.accept(conn)
+	}
+	return nil
+}
+
+func (s *Server) accept(conn net.Conn) {
+	defer s.hub.running.Done()
+	defer context.AfterFunc(s.hub.ctx, func() { _ = conn.Close() })()
+	remote, err := acceptHandshake(conn, s.hub.options)
+	if err != nil {
+		s.hub.options.Logger.Info("peer connection refused", "from", conn.RemoteAddr().String(), "error", err.Error())
+		_ = conn.Close()
+		return
+	}
+	s.hub.add(conn, remote, remote)
+}
+
+// Close stops accepting, closes the accepted connections, ends the contexts of
+// the running handlers and waits for them. Calls that arrive over connections of
+// the client are refused from then on.
+func (s *Server) Close() error {
+	s.hub.mu.Lock()
+	s.hub.stopped = true
+	s.hub.mu.Unlock()
+	s.hub.stop()
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	s.hub.closeConns(false)
+	s.hub.running.Wait()
+	s.hub.closeConns(false) // connections whose handshake ended meanwhile
+	return nil
+}
