--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,341 @@
+// Package e2e runs the programs as separate processes and causes failures.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/callerclient"
+	"github.com/rattanscale/rattanscale/internal/ctl"
+	"github.com/rattanscale/rattanscale/internal/daemon"
+	"github.com/rattanscale/rattanscale/internal/operatorapi"
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+// programVariable makes the test binary run as one of the programs.
+const programVariable = "RATTANSCALE_TEST_PROGRAM"
+
+// waitLimit bounds the wait for a state that must come about; it is not a
+// statement about speed.
+const waitLimit = 60 * time.Second
+
+const (
+	operatorKey = "operator-key-0123"
+	accountKey  = "guides-key-012345"
+)
+
+func TestMain(m *testing.M) {
+	mains := map[string]func([]string, io.Writer, io.Writer) int{
+		"rattanscaled": daemon.Main, "rattanctl": ctl.Main, "rattanstandin": standin.Main,
+	}
+	if main := mains[os.Getenv(programVariable)]; main != nil {
+		os.Exit(main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// process is one running program.
+type process struct {
+	t      *testing.T
+	name   string
+	cmd    *exec.Cmd
+	addr   string // of a stand-in
+	output lockedBuffer
+	exited chan struct{}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, exited: make(chan struct{})}
+	p.cmd = exec.Command(os.Args[0], args...)
+	p.cmd.Env = append(os.Environ(), programVariable+"="+program, "GORACE=exitcode=66 halt_on_error=1")
+	p.cmd.Stderr = &p.output
+	stdout, err := p.cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.cmd.Start())
+	lines := bufio.NewScanner(stdout)
+	if program == "rattanstandin" {
+		require.True(t, lines.Scan(), "%s: %s", name, &p.output)
+		_, p.addr, _ = strings.Cut(lines.Text(), "addr=")
+	}
+	go func() {
+		for lines.Scan() {
+			_, _ = p.output.Write(append(lines.Bytes(), '\n'))
+		}
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+		if t.Failed() {
+			t.Logf("--- %s\n%s", name, tail(p.output.String(), 6000))
+		}
+		require.NotContains(t, p.output.String(), "DATA RACE", name)
+	})
+	return p
+}
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+// signal sends a signal to the process, unless it has exited.
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// fault makes a stand-in show a fault.
+func (p *process) fault(f standin.Fault) {
+	p.t.Helper()
+	body, err := json.Marshal(f)
+	require.NoError(p.t, err)
+	response, err := http.Post("http://"+p.addr+"/fault", "application/json", bytes.NewReader(body))
+	require.NoError(p.t, err)
+	require.NoError(p.t, response.Body.Close())
+	require.Less(p.t, response.StatusCode, 300)
+}
+
+// stats reads the counters of a stand-in.
+func stats[T any](p *process) T {
+	p.t.Helper()
+	var out T
+	response, err := http.Get("http://" + p.addr + "/stats")
+	require.NoError(p.t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.NoError(p.t, json.NewDecoder(response.Body).Decode(&out))
+	return out
+}
+
+// host is one daemon with its addresses.
+type host struct {
+	*process
+	name, dataCentre       string
+	caller, operator, peer string
+	settings               string
+}
+
+// cluster is a system of daemons and stand-ins.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	table   *process
+	list    *process
+	hosts   []*host
+	engines map[string]*process
+	plains  map[string]*process
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newCluster starts the platform's stand-ins and one daemon for each named data centre.
+func newCluster(t *testing.T, dataCentres ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), engines: map[string]*process{}, plains: map[string]*process{}}
+	c.table = start(t, "table", "rattanstandin", "table", "-listen", "127.0.0.1:0")
+	c.list = start(t, "hostlist", "rattanstandin", "hostlist", "-listen", "127.0.0.1:0")
+	for i, dc := range dataCentres {
+		c.addHost(fmt.Sprintf("h%d", i+1), dc)
+	}
+	c.listHosts()
+	for _, h := range c.hosts {
+		h.start()
+	}
+	return c
+}
+
+func (c *cluster) addHost(name, dataCentre string) *host {
+	h := &host{process: &process{t: c.t}, name: name, dataCentre: dataCentre}
+	h.caller, h.operator, h.peer = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+	h.settings = filepath.Join(c.dir, name+".yaml")
+	text := fmt.Sprintf(`
+host: {name: %s, data-centre: %s}
+listen: {caller: "%s", operator: "%s", peer: "%s"}
+platform: {table: dynamo, table-url: "http://%s", host-list-url: "http://%s", access-key: test, secret-key: test}
+keys:
+  resume: resume-key-0123456
+  peer: peer-key-012345678
+  operators: {ops: %s}
+  accounts: {guides: %s}
+limits: {token-timeout: 2s}
+drain: {announce: 1s, limit: 2s}
+`, name, dataCentre, h.caller, h.operator, h.peer, c.table.addr, c.list.addr, operatorKey, accountKey)
+	require.NoError(c.t, os.WriteFile(h.settings, []byte(text), 0o600))
+	c.hosts = append(c.hosts, h)
+	return h
+}
+
+func (h *host) start() { h.process = start(h.t, h.name, "rattanscaled", "-v", "1", "-config", h.settings) }
+
+// listHosts writes the platform's host list.
+func (c *cluster) listHosts() {
+	type row struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+	}
+	var rows []row
+	for _, h := range c.hosts {
+		rows = append(rows, row{h.name, h.peer})
+	}
+	body, err := json.Marshal(rows)
+	require.NoError(c.t, err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.list.addr+"/hosts", bytes.NewReader(body))
+	require.NoError(c.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(c.t, err)
+	require.NoError(c.t, response.Body.Close())
+}
+
+func (c *cluster) engine(name string, args ...string) *process {
+	p := start(c.t, name, "rattanstandin", append([]string{"engine", "-listen", "127.0.0.1:0"}, args...)...)
+	c.engines[name] = p
+	return p
+}
+
+func (c *cluster) plain(name string, args ...string) *process {
+	p := start(c.t, name, "rattanstandin", append([]string{"plain", "-listen", "127.0.0.1:0"}, args...)...)
+	c.plains[name] = p
+	return p
+}
+
+// ctl runs rattanctl against a host and returns its output and exit status.
+func (c *cluster) ctl(h *host, args ...string) (string, int) {
+	c.t.Helper()
+	var out bytes.Buffer
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), programVariable+"=rattanctl", "RATTAN_ADDR="+h.operator, "RATTAN_KEY="+operatorKey)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	if err != nil && cmd.ProcessState == nil {
+		require.NoError(c.t, err)
+	}
+	return out.String(), cmd.ProcessState.ExitCode()
+}
+
+func (c *cluster) mustCtl(h *host, args ...string) string {
+	c.t.Helper()
+	out, code := c.ctl(h, args...)
+	require.Zero(c.t, code, "%v: %s", args, out)
+	return out
+}
+
+// apply writes the service text and waits until it is in force.
+func (c *cluster) apply(text string) {
+	c.t.Helper()
+	file := filepath.Join(c.dir, "service.yaml")
+	require.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
+	c.eventually("accept the service text", func() bool {
+		_, code := c.ctl(c.hosts[0], "apply", "-wait", "-timeout", "30s", file)
+		return code == 0
+	})
+}
+
+// waitReady waits until every host may send and sees all hosts.
+func (c *cluster) waitReady() {
+	c.t.Helper()
+	c.eventually("all hosts are ready", func() bool {
+		for _, h := range c.hosts {
+			s, ok := c.status(h)
+			if !ok || len(s.Observed.Hosts) != len(c.hosts) {
+				return false
+			}
+			for _, row := range s.Observed.Hosts {
+				if !row.Ready {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) status(h *host) (operatorapi.Status, bool) {
+	var s operatorapi.Status
+	out, code := c.ctl(h, "status", "-output", "json")
+	if code != 0 {
+		return s, false
+	}
+	return s, json.Unmarshal([]byte(out), &s) == nil
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("did not happen within %v: %s", waitLimit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// client returns a caller that knows the given hosts.
+func (c *cluster) client(hosts ...*host) *callerclient.Client {
+	client := &callerclient.Client{Key: accountKey, HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http"}
+	for _, h := range hosts {
+		client.Seeds = append(client.Seeds, h.caller)
+	}
+	return client
+}
+
+// generate sends a request and requires a complete answer of the given length.
+func (c *cluster) generate(client *callerclient.Client, service string, tokens int) *callerclient.Answer {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), waitLimit)
+	defer cancel()
+	answer, err := client.Generate(ctx, callerclient.Request{Service: service, Prompt: fmt.Sprintf("tokens=%d", tokens), AcceptRestart: true})
+	require.NoError(c.t, err)
+	require.Len(c.t, answer.Tokens, tokens)
+	return answer
+}
+
+func generateRequest(service string, tokens int, onToken func(string)) callerclient.Request {
+	return callerclient.Request{Service: service, Prompt: fmt.Sprintf("tokens=%d", tokens), AcceptRestart: true, OnToken: onToken}
+}
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,126 @@
+package e2e
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+// text returns a service text over the cluster's engines and plain services. Names
+// of engines and plain services begin with their data centre.
+func (c *cluster) text(limits string) string {
+	var b strings.Builder
+	b.WriteString("version: 1\ndata-centres: [praha-1, praha-2]\npools:\n")
+	pool := func(name, kind, dc, limits string, upstreams map[string]*process) {
+		var rows []string
+		for n, p := range upstreams {
+			if strings.HasPrefix(n, dc) {
+				rows = append(rows, "      - {name: "+n+", address: \""+p.addr+"\"}\n")
+			}
+		}
+		if len(rows) > 0 {
+			b.WriteString("  - name: " + name + "\n    kind: " + kind + "\n    data-centre: " + dc + "\n    fencing: refuses-old\n    limits: " + limits + "\n    upstreams:\n" + strings.Join(rows, ""))
+		}
+	}
+	for _, dc := range []string{"praha-1", "praha-2"} {
+		pool("model-"+dc, "engine", dc, limits, c.engines)
+		pool("plain-"+dc, "plain", dc, "{cold-requests: 4, max-requests: 32}", c.plains)
+	}
+	pools := func(prefix string) string {
+		var names []string
+		for _, dc := range []string{"praha-1", "praha-2"} {
+			if strings.Contains(b.String(), "name: "+prefix+dc+"\n") {
+				names = append(names, prefix+dc)
+			}
+		}
+		return "[" + strings.Join(names, ", ") + "]"
+	}
+	models, plains := pools("model-"), pools("plain-")
+	b.WriteString("services:\n")
+	for _, delivery := range []string{"restart", "whole", "error"} {
+		b.WriteString("  - name: " + delivery + "\n    delivery: " + delivery + "\n    repeatable: true\n    deadline: 60s\n    versions:\n" +
+			"      - {name: v1, model: m1, pools: " + models + ", share: 100}\n      - {name: v2, model: m2, pools: " + models + ", share: 0}\n" +
+			"    rollout: {finish-within: 10m, max-error-increase: 0.05, max-slowdown: 2}\n")
+	}
+	if plains != "[]" {
+		b.WriteString("  - name: booking\n    repeatable: false\n    deadline: 10s\n    versions:\n      - {name: v1, pools: " + plains + ", share: 100}\n" +
+			"  - name: lookup\n    repeatable: true\n    deadline: 10s\n    versions:\n      - {name: v1, pools: " + plains + ", share: 100}\n")
+	}
+	b.WriteString("accounts:\n  - {name: guides, share: 1, max-queued: 100}\n")
+	return b.String()
+}
+
+const warmLimits = "{cold-requests: 4, max-requests: 16, memory-tokens: 65536, target-step: 62ms}"
+
+// small starts three daemons in two data centres, one engine and one plain service in each.
+func small(t *testing.T, engineArgs ...string) *cluster {
+	t.Helper()
+	c := newCluster(t, "praha-1", "praha-1", "praha-2")
+	for _, dc := range []string{"praha-1", "praha-2"} {
+		c.engine(dc+"-e1", engineArgs...)
+		c.plain(dc + "-p1")
+	}
+	c.apply(c.text(warmLimits))
+	c.waitReady()
+	return c
+}
+
+// Guards the whole path: a caller asks any host, streams from an engine, calls a
+// plain service, and the request can be followed through the timeline.
+func TestPathFromCallerToUpstream(t *testing.T) {
+	c := small(t)
+	client := c.client(c.hosts[2])
+	hosts, err := client.Hosts(t.Context())
+	require.NoError(t, err)
+	require.NotEmpty(t, hosts)
+
+	answer := c.generate(client, "restart", 200)
+	require.Zero(t, answer.Restarts)
+	c.generate(client, "whole", 100)
+
+	result, err := client.Call(t.Context(), c.hosts[0].caller, "booking", "key-1", []byte(`{"book":1}`))
+	require.NoError(t, err)
+	require.Equal(t, 200, result.Status)
+	again, err := client.Call(t.Context(), c.hosts[1].caller, "booking", "key-1", []byte(`{"book":1}`))
+	require.NoError(t, err)
+	require.True(t, again.Replayed)
+	require.Equal(t, result.Body, again.Body)
+
+	out := c.mustCtl(c.hosts[1], "timeline", "-request", answer.RequestID)
+	for _, kind := range []string{"request.accepted", "permit.granted", "request.sent", "token.first", "request.done"} {
+		require.Contains(t, out, "kind="+kind)
+	}
+	require.Less(t, strings.Index(out, "request.accepted"), strings.Index(out, "permit.granted"))
+	require.Less(t, strings.Index(out, "request.sent"), strings.Index(out, "request.done"))
+}
+
+// Guards against a mixture of generations when an engine dies in mid-stream.
+func TestEngineLostInMidStream(t *testing.T) {
+	c := small(t, "-base-step", "5ms")
+	request := make(chan struct{})
+	go func() {
+		<-request
+		for _, e := range c.engines {
+			if s := stats[standin.EngineStats](e); s.Running > 0 {
+				e.fault(standin.Fault{Kind: standin.FaultColdRestart})
+			}
+		}
+	}()
+	client := c.client(c.hosts[0])
+	seen := 0
+	answer, err := client.Generate(t.Context(), generateRequest("restart", 300, func(string) {
+		if seen++; seen == 50 {
+			close(request)
+		}
+	}))
+	require.NoError(t, err)
+	require.Len(t, answer.Tokens, 300)
+	require.Equal(t, 1, answer.Restarts)
+	generation, _, _ := strings.Cut(answer.Tokens[0], "-")
+	for _, token := range answer.Tokens {
+		require.True(t, strings.HasPrefix(token, generation+"-"), token)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,7 +57,6 @@
 	members  members
 	server   *peer.Server
 	client   *peer.Client
-	local    *localCaller
 	owner    *permit.Owner
 	permits  *permit.Client
 	ledger   *idempotency.Ledger
@@ -96,14 +95,14 @@
 		clock: do.MustInvoke[*timeline.Clock](i), recorder: do.MustInvoke[*timeline.Recorder](i),
 		follower: do.MustInvoke[*changelog.Follower](i), changes: do.MustInvoke[*changelog.Log](i),
 		tracker: do.MustInvoke[*membership.Tracker](i), metrics: metrics.NewSet(), drain: newDrain(),
-		server: peer.NewServer(options), client: peer.NewClient(options),
 	}
+	d.server, d.client = peer.New(options)
 	d.events = &events{d.recorder}
 	d.members = members{d.tracker}
-	d.local = &localCaller{address: s.Listen.Peer, remote: d.client}
 	d.buildDecisions(do.MustInvoke[upstream.Engine](i), do.MustInvoke[upstream.Plain](i))
 	d.buildInterfaces()
 	d.buildMembership(do.MustInvoke[platform.HostList](i))
+	d.registerMethods()
 	d.registerMetrics()
 	return d, nil
 }
@@ -113,11 +112,11 @@
 	s := d.settings
 	d.owner = permit.NewOwner(d.members, engine, plain, d.events, d.log)
 	d.owner.Reserve = s.Platform.Table != "memory" // the memory table serves a single host
-	d.owner.Notify = func(n []quarantine.Notice) { notifySuspects(context.Background(), d.tracker, d.local, n) }
-	d.permits = permit.NewClient(d.local, d.members, d.log)
+	d.owner.Notify = func(n []quarantine.Notice) { notifySuspects(context.Background(), d.tracker, d.client, n) }
+	d.permits = permit.NewClient(d.client, d.members, d.log)
 	d.ledger = idempotency.New(d.table, s.Host.Name, time.Now)
-	d.statuses = newStatuses(d.tracker, d.local)
-	d.rollouts = newRollouts(d.follower.Configuration, d.tracker, d.local, d.log)
+	d.statuses = newStatuses(d.tracker, d.client)
+	d.rollouts = newRollouts(d.follower.Configuration, d.tracker, d.client, d.log)
 	d.relay = &relay.Relay{
 		Engine: engine, Plain: plain, Permits: d.permits, Ledger: d.ledger, Config: d.follower.Configuration,
 		Pools: d.statuses, Signer: stream.NewSigner(s.Keys.Resume), Events: d.events, Evidence: d.rollouts,
@@ -130,7 +129,7 @@
 func (d *Daemon) buildInterfaces() {
 	s := d.settings
 	d.control = &control{
-		log: d.changes, tracker: d.tracker, statuses: d.statuses, caller: d.local, recorder: d.recorder, events: d.events,
+		log: d.changes, tracker: d.tracker, statuses: d.statuses, caller: d.client, recorder: d.recorder, events: d.events,
 		committed: func() { d.runner.Committed() },
 	}
 	d.rollouts.commits = d.control
@@ -201,11 +200,6 @@
 }
 
 func (d *Daemon) serve(group *errgroup.Group, l listeners) []*http.Server {
-	handlers := d.handlers()
-	d.local.setHandlers(handlers)
-	for method, handle := range handlers {
-		d.server.Handle(method, handle)
-	}
 	group.Go(func() error { return d.server.Serve(l.peer) })
 	callers, operators := d.httpServer(d.caller.Handler()), d.httpServer(d.operator.Handler())
 	for server, listener := range map[*http.Server]net.Listener{callers: l.caller, operators: l.operator} {
