Tighten the step bound under lasting pressure and narrow prefix affinity

The step bound now falls from 0.84 to 0.78 of the target while requests wait most of the time, and a cached prefix may cost 0.05 instead of 0.15 of load.

--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,10 +15,17 @@
 	scanDepth = 8
 	// overtakeTime is the wait after which a request that fits nowhere may no longer be overtaken.
 	overtakeTime = 2 * time.Second
-	// stepShare is the part of the target step that the predicted mean step may
-	// take. The rest covers the variation of single steps, most of all the steps
-	// that also process a prompt, so that 95 in 100 stay below the target.
-	stepShare = 0.82
+	// easyShare and tightShare are the parts of the target step that the predicted
+	// mean step may take. The rest covers the variation of single steps, most of
+	// all those that also process a prompt, so that 95 in 100 stay below the
+	// target. The tight share applies while requests wait most of the time: then
+	// a larger batch adds little throughput and only lengthens the steps.
+	easyShare  = 0.84
+	tightShare = 0.78
+	// pressureTime is the time constant with which the share of time with waiting
+	// requests is averaged, and fullPressure the share from which on it is lasting.
+	pressureTime = 10 * time.Second
+	fullPressure = 0.5
 	// throughputWindow is the interval over which the rate of grants is measured.
 	throughputWindow = time.Second
 	throughputWeight = 0.2
@@ -69,7 +77,7 @@
 		if len(open) == 0 {
 			return fairqueue.Stop
 		}
-		u := s.pick(open, r)
+		u := s.pick(open, r, s.pressure.stepShare())
 		if u == nil {
 			if passed++; passed >= scanDepth || now.Sub(it.Enqueued) >= overtakeTime {
 				return fairqueue.Stop
@@ -84,6 +92,7 @@
 		return fairqueue.Take
 	})
 	s.throughput.tick(now, s.queue.Len() > 0)
+	s.pressure.update(now, s.queue.Len() > 0)
 }
 
 // open returns the upstreams that may receive a request, in the order of their names.
@@ -102,7 +111,7 @@
 }
 
 // pick returns the upstream for a request, or nil when it fits nowhere now.
-func (s *State) pick(open []*upstream, r *Request) *upstream {
+func (s *State) pick(open []*upstream, r *Request, stepShare float64) *upstream {
 	var add admission.Profile
 	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, s.lengths.Lengths(keyOf(r)))
 	candidates := make([]routing.Candidate, 0, len(open))
@@ -111,7 +120,7 @@
 		if slices.Contains(r.Exclude, u.name) {
 			continue
 		}
-		load, fits := s.load(u, &add)
+		load, fits := s.load(u, &add, stepShare)
 		if !fits {
 			continue
 		}
@@ -128,7 +137,7 @@
 
 // load predicts an upstream's load with one more request, as a share of its
 // capacity, and whether the request fits. An empty upstream takes any request.
-func (s *State) load(u *upstream, add *admission.Profile) (float64, bool) {
+func (s *State) load(u *upstream, add *admission.Profile, stepShare float64) (float64, bool) {
 	limits := &s.pool.Limits
 	load := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
 	fits := true
@@ -195,3 +204,27 @@
 	}
 	return time.Duration(min(cost/t.rate, 3600) * float64(time.Second))
 }
+
+// pressure is the recent share of time during which requests waited.
+type pressure struct {
+	share   float64
+	waiting bool
+	at      time.Time
+}
+
+// update records whether requests wait from now on.
+func (p *pressure) update(now time.Time, waiting bool) {
+	if !p.at.IsZero() {
+		target := 0.0
+		if p.waiting {
+			target = 1
+		}
+		p.share += (1 - math.Exp(-now.Sub(p.at).Seconds()/pressureTime.Seconds())) * (target - p.share)
+	}
+	p.at, p.waiting = now, waiting
+}
+
+// stepShare is the part of the target step that may be filled now.
+func (p *pressure) stepShare() float64 {
+	return easyShare - (easyShare-tightShare)*min(p.share/fullPressure, 1)
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -40,6 +40,7 @@
 
 	queue      *fairqueue.Queue[*Request]
 	throughput throughput
+	pressure   pressure
 	suspects   []Request
 	isolation  isolation
 	lengths    *admission.Predictor
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -12,7 +12,7 @@
 const (
 	// affinityMargin bounds the additional load, as a share of an upstream's
 	// capacity, that is accepted for the sake of a cached prefix.
-	affinityMargin = 0.15
+	affinityMargin = 0.05
 	// equalLoad is the difference below which two upstreams count as equally loaded.
 	equalLoad = 0.02
 )
