--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -104,7 +104,10 @@
 	p.meanStep = r.StepTime
 	if step := u.observe(now, r.StepTime); step > 0 {
 		batch, memory := u.batch()
-		u.model.Observe(batch, memory, step)
+		if !u.tracker.Awaiting() {
+			// A cold engine's steps would distort what is known of the warm one.
+			u.model.Observe(batch, memory, step)
+		}
 		u.tracker.Step(now, step)
 	}
 }
