--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/google/subcommands"
+
+	"github.com/rattanscale/rattanscale/internal/replay"
 )
 
 // Exit statuses besides subcommands.ExitSuccess, ExitFailure (1) and ExitUsageError (2).
@@ -19,6 +21,9 @@
 
 // Main runs rattanctl with the given arguments and returns its exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == replayName {
+		return replay.Run(args[1:], stdout, stderr) // it parses its own flags
+	}
 	flags := flag.NewFlagSet("rattanctl", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	commander := subcommands.NewCommander(flags, "rattanctl")
--- a/internal/ctl/reads.go
+++ b/internal/ctl/reads.go
@@ -51,9 +51,13 @@
 	return subcommands.ExitSuccess
 }
 
+// replayName is the verb that replays a trace.
+const replayName = "replay"
+
+// replayCommand documents the verb; Main runs it.
 type replayCommand struct{ env *environment }
 
-func (*replayCommand) Name() string             { return "replay" }
+func (*replayCommand) Name() string             { return replayName }
 func (*replayCommand) Synopsis() string         { return "replay a recorded trace against its stated outcomes" }
 func (*replayCommand) Usage() string            { return "replay [flags] TRACE\n" }
 func (*replayCommand) SetFlags(_ *flag.FlagSet) {}
