--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -97,11 +98,34 @@
 	}
 }
 
-// Client returns the configuration of an outgoing connection to a peer.
+// Client returns the configuration of outgoing connections to peers. Certificate
+// and trust roots are looked up for each connection, so that a reload applies.
 func (s *Source) Client() *tls.Config {
 	if s == nil {
 		return nil
 	}
-	cert, roots := s.current()
-	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, RootCAs: roots}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := s.current()
+			return cert, nil
+		},
+		// The built-in verification uses roots that are fixed at the start;
+		// VerifyConnection does the same checks with the current roots.
+		InsecureSkipVerify: true,
+		VerifyConnection:   s.verify,
+	}
+}
+
+func (s *Source) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the peer presented no certificate")
+	}
+	_, roots := s.current()
+	options := x509.VerifyOptions{Roots: roots, DNSName: state.ServerName, Intermediates: x509.NewCertPool()}
+	for _, cert := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(cert)
+	}
+	_, err := state.PeerCertificates[0].Verify(options)
+	return err
 }
