--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -13,6 +13,7 @@
 	"github.com/rattanscale/rattanscale/internal/changelog"
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/membership/runner"
 	"github.com/rattanscale/rattanscale/internal/operatorapi"
 	"github.com/rattanscale/rattanscale/internal/permit"
 	"github.com/rattanscale/rattanscale/internal/timeline"
@@ -32,14 +33,13 @@
 
 // control implements operatorapi.Control. It is safe for concurrent use.
 type control struct {
-	log      *changelog.Log
+	runner   *runner.Runner
+	follower *changelog.Follower
 	tracker  *membership.Tracker
 	statuses *statuses
 	caller   permit.Caller
 	recorder *timeline.Recorder
 	events   *events
-	// committed tells the peers that a change was committed.
-	committed func()
 }
 
 // Change commits an operator's change.
@@ -65,24 +65,18 @@
 // commit writes the change if this daemon reaches the store and a strict
 // majority of members; see section 5.8 of the design page.
 func (c *control) commit(ctx context.Context, change entity.Change, expect uint64) (uint64, error) {
-	if err := c.tracker.Snapshot().MayCommit(time.Now()); err != nil {
-		return 0, err
-	}
 	change.At = time.Now().UTC()
-	revision, err := c.log.Commit(ctx, expect, change)
+	result, err := c.runner.Commit(ctx, expect, change)
 	if err != nil {
 		return 0, err
 	}
-	c.tracker.SetApplied(time.Now(), c.log.Follower().Revision())
-	c.events.Record("change.committed", "", "change", change.ID, "change-kind", string(change.Kind), "operator", change.Operator)
-	c.committed()
-	return revision, nil
+	return result.Revision, nil
 }
 
 // currentVersion returns the version that carries the traffic of a service: the
 // target of a finished rollout, or the version with the largest share.
 func (c *control) currentVersion(name string) string {
-	conf := c.log.Follower().Configuration()
+	conf := c.follower.Configuration()
 	if r, ok := conf.Rollouts[name]; ok {
 		if r.State == entity.RolloutFinished {
 			return r.To
@@ -95,12 +89,11 @@
 
 // Outcome returns the state of a change, from the change log alone.
 func (c *control) Outcome(id string) (operatorapi.ChangeResult, bool) {
-	follower := c.log.Follower()
-	change, ok := follower.Find(id)
+	change, ok := c.follower.Find(id)
 	if !ok {
 		return operatorapi.ChangeResult{}, false
 	}
-	conf := follower.Configuration()
+	conf := c.follower.Configuration()
 	result := operatorapi.ChangeResult{ID: id, Revision: change.Revision, Outcome: operatorapi.OutcomePending}
 	if change.Kind == entity.ChangeRolloutStart {
 		result.Outcome, result.Reason = c.rolloutOutcome(change)
@@ -114,7 +107,7 @@
 
 // rolloutOutcome finds the entry that ended the rollout.
 func (c *control) rolloutOutcome(started entity.Change) (operatorapi.Outcome, string) {
-	later, _ := c.log.Follower().Since(started.Revision)
+	later, _ := c.follower.Since(started.Revision)
 	for _, change := range later {
 		if change.Service != started.Service {
 			continue
@@ -131,7 +124,7 @@
 
 // Text returns the service text in force and its revision.
 func (c *control) Text() (string, uint64) {
-	follower := c.log.Follower()
+	follower := c.follower
 	return follower.Text(), follower.Revision()
 }
 
@@ -140,7 +133,7 @@
 
 // Status returns the state at the revision that this host holds.
 func (c *control) Status() operatorapi.Status {
-	conf := c.log.Follower().Configuration()
+	conf := c.follower.Configuration()
 	snapshot := c.tracker.Snapshot()
 	return operatorapi.Status{
 		Revision: conf.Revision, InForce: conf.InForce, Configuration: configurationOf(conf),
@@ -198,7 +191,7 @@
 
 // Watch sends the changes above after until ctx ends.
 func (c *control) Watch(ctx context.Context, after uint64, send func(entity.Change) error) error {
-	follower := c.log.Follower()
+	follower := c.follower
 	watcher := follower.Watch(watchBuffer)
 	defer watcher.Close()
 	sendSince := func() error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/idempotency"
 	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/membership/runner"
 	"github.com/rattanscale/rattanscale/internal/operatorapi"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/permit"
@@ -53,7 +54,7 @@
 	follower *changelog.Follower
 	changes  *changelog.Log
 	tracker  *membership.Tracker
-	runner   *membership.Runner
+	runner   *runner.Runner
 	members  members
 	server   *peer.Server
 	client   *peer.Client
@@ -94,19 +95,38 @@
 		settings: s, log: do.MustInvoke[logr.Logger](i), table: table, tls: source,
 		clock: do.MustInvoke[*timeline.Clock](i), recorder: do.MustInvoke[*timeline.Recorder](i),
 		follower: do.MustInvoke[*changelog.Follower](i), changes: do.MustInvoke[*changelog.Log](i),
-		tracker: do.MustInvoke[*membership.Tracker](i), metrics: metrics.NewSet(), drain: newDrain(),
+		metrics: metrics.NewSet(), drain: newDrain(),
 	}
 	d.server, d.client = peer.New(options)
 	d.events = &events{d.recorder}
+	d.buildMembership(do.MustInvoke[platform.HostList](i))
 	d.members = members{d.tracker}
 	d.buildDecisions(do.MustInvoke[upstream.Engine](i), do.MustInvoke[upstream.Plain](i))
 	d.buildInterfaces()
-	d.buildMembership(do.MustInvoke[platform.HostList](i))
 	d.registerMethods()
 	d.registerMetrics()
 	return d, nil
 }
 
+// buildMembership builds the parts that keep the view and the configuration.
+func (d *Daemon) buildMembership(hosts platform.HostList) {
+	s := d.settings
+	d.runner = runner.New(runner.Config{
+		Cell: s.Host.Cell,
+		Self: membership.Member{
+			Identity: membership.Identity{Name: s.Host.Name}, PeerAddress: s.Listen.Peer, CallerAddress: s.Listen.Caller,
+			OperatorAddress: s.Listen.Operator, DataCentre: s.Host.DataCentre,
+		},
+		Table: d.table, Hosts: hosts, Log: d.changes, Peers: d.client, Local: d.localState, Logger: d.log, Timeline: d.recorder,
+	})
+	d.tracker = d.runner.Tracker()
+}
+
+// localState is what this daemon tells the others about itself.
+func (d *Daemon) localState() membership.Local {
+	return membership.Local{Draining: d.drain.leaving.Load(), Streams: d.caller.OpenStreams()}
+}
+
 // buildDecisions builds the parts that decide who may send and that relay requests.
 func (d *Daemon) buildDecisions(engine upstream.Engine, plain upstream.Plain) {
 	s := d.settings
@@ -129,8 +149,7 @@
 func (d *Daemon) buildInterfaces() {
 	s := d.settings
 	d.control = &control{
-		log: d.changes, tracker: d.tracker, statuses: d.statuses, caller: d.client, recorder: d.recorder, events: d.events,
-		committed: func() { d.runner.Committed() },
+		runner: d.runner, follower: d.follower, tracker: d.tracker, statuses: d.statuses, caller: d.client, recorder: d.recorder, events: d.events,
 	}
 	d.rollouts.commits = d.control
 	d.caller = &callerapi.Server{
@@ -162,25 +181,39 @@
 	if err != nil {
 		return err
 	}
-	// The loops outlive ctx until the drain is over.
-	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	// The loops outlive ctx until the drain is over. The membership outlives the
+	// other loops, because a daemon must have stopped granting when it leaves the view.
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	member, leave := context.WithCancel(loops)
+	defer leave()
+	work, stopWork := context.WithCancel(loops)
+	defer stopWork()
 	var group errgroup.Group
 	servers := d.serve(&group, listeners)
+	membershipEnded := make(chan error, 1)
+	go func() { membershipEnded <- d.runner.Run(member) }()
 	var running sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		d.runner.Run, d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.syncPools,
+		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.syncPools,
 	} {
-		running.Go(func() { loop(loops) })
+		running.Go(func() { loop(work) })
 	}
-	d.events.Record("host.started", "", "data-centre", d.settings.Host.DataCentre)
+	d.events.Record("host-started", "", "data-centre", d.settings.Host.DataCentre)
 	d.log.Info("started", "caller", d.settings.Listen.Caller, "operator", d.settings.Listen.Operator, "peer", d.settings.Listen.Peer)
-	<-ctx.Done()
-	d.drainAll(loops)
-	stop()
-	running.Wait() // the runner leaves the view before it returns
+	select {
+	case <-ctx.Done():
+		d.drainAll(loops)
+	case err = <-membershipEnded: // another process has the same host name
+	}
+	stopWork()
+	running.Wait()
+	leave()
+	if err == nil {
+		err = <-membershipEnded
+	}
 	d.shutdown(servers)
-	err = group.Wait()
+	err = errors.Join(err, group.Wait())
 	d.log.Info("stopped")
 	return err
 }
@@ -254,11 +287,10 @@
 			d.owner.Reset()
 		}
 		if snapshot.View.Epoch == epoch && conf.Revision == revision && snapshot.Self.Incarnation == incarnation {
-			d.reportLocal()
 			continue
 		}
 		if conf.Revision != revision {
-			d.events.Record("config.applied", "", "revision", u64(conf.Revision))
+			d.events.Record("config-applied", "", "revision", u64(conf.Revision))
 		}
 		epoch, revision, incarnation = snapshot.View.Epoch, conf.Revision, snapshot.Self.Incarnation
 		d.owner.Sync(ctx, conf, epoch)
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -29,17 +29,16 @@
 // callers no longer use old answers, refuses new work, lets streams finish up to
 // the limit and hands the rest over.
 func (d *Daemon) drainAll(ctx context.Context) {
-	d.events.Record("host.draining", "")
+	d.events.Record("host-draining", "")
 	d.log.Info("draining", "announce", d.settings.Drain.Announce.String(), "limit", d.settings.Drain.Limit.String())
 	d.drain.leaving.Store(true)
-	d.reportLocal()
 	if !d.alone() {
 		wait(ctx, d.settings.Drain.Announce)
 	}
 	d.drain.refusing.Store(true)
 	d.waitForStreams(ctx, d.settings.Drain.Limit)
 	if open := d.caller.OpenStreams(); open > 0 {
-		d.events.Record("host.handover", "")
+		d.events.Record("host-handover", "")
 		d.log.Info("handing streams over", "streams", open)
 		close(d.drain.handover)
 		d.waitForStreams(ctx, handoverLimit)
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -10,7 +10,6 @@
 	"github.com/rattanscale/rattanscale/internal/changelog"
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/failure"
-	"github.com/rattanscale/rattanscale/internal/membership"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/platform"
 	"github.com/rattanscale/rattanscale/internal/platform/dynamo"
@@ -43,7 +42,6 @@
 	do.Provide(i, provideRecorder)
 	do.Provide(i, provideFollower)
 	do.Provide(i, provideLog)
-	do.Provide(i, provideTracker)
 	do.Provide(i, providePeerOptions)
 	do.Provide(i, provideEngine)
 	do.Provide(i, providePlain)
@@ -106,13 +104,6 @@
 	return changelog.NewLog(table, do.MustInvoke[platform.ObjectStore](i), do.MustInvoke[*changelog.Follower](i)), nil
 }
 
-func provideTracker(i do.Injector) (*membership.Tracker, error) {
-	s := do.MustInvoke[*settings.Settings](i)
-	now := time.Now()
-	self := membership.Identity{Name: s.Host.Name, Incarnation: uint64(now.UnixNano())}
-	return membership.NewTracker(s.Host.Cell, self, now), nil
-}
-
 func providePeerOptions(i do.Injector) (peer.Options, error) {
 	s := do.MustInvoke[*settings.Settings](i)
 	source, err := do.Invoke[*tlsconf.Source](i)
--- a/internal/permit/healthchecks.go
+++ b/internal/permit/healthchecks.go
@@ -82,7 +82,7 @@
 		return
 	}
 	if !p.reachable {
-		w.owner.events.Record("upstream.reachable", "", "upstream", name, "pool", w.key.pool)
+		w.owner.events.Record("upstream-reachable", "", "upstream", name, "pool", w.key.pool)
 	}
 	p.reachable, p.failures = true, 0
 	if kind != entity.KindPlain {
@@ -98,7 +98,7 @@
 	}
 	p.reachable = false
 	w.owner.log.Info("upstream is unreachable", "upstream", name, "pool", w.key.pool, "error", err.Error())
-	w.owner.events.Record("upstream.lost", "", "upstream", name, "pool", w.key.pool)
+	w.owner.events.Record("upstream-lost", "", "upstream", name, "pool", w.key.pool)
 	w.state.Lose(w.owner.now(), name)
 	w.decide()
 }
@@ -106,10 +106,10 @@
 func (w *owned) applyReport(startedAt time.Time, name string, p *poller, r upstream.Report, cache []upstream.CacheEvent) {
 	now := w.owner.now()
 	if p.report.Incarnation != "" && p.report.Incarnation != r.Incarnation {
-		w.owner.events.Record("upstream.restarted", "", "upstream", name, "incarnation", r.Incarnation)
+		w.owner.events.Record("upstream-restarted", "", "upstream", name, "incarnation", r.Incarnation)
 	}
 	if r.Leaving && !p.report.Leaving {
-		w.owner.events.Record("upstream.leaving", "", "upstream", name)
+		w.owner.events.Record("upstream-leaving", "", "upstream", name)
 	}
 	p.report = r
 	// The age counts from the start of the read; the lag of the report itself is added.
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
 	"github.com/rattanscale/rattanscale/internal/pool"
 	"github.com/rattanscale/rattanscale/internal/quarantine"
 	"github.com/rattanscale/rattanscale/internal/upstream"
@@ -28,6 +29,7 @@
 	polls   map[string]*poller
 	ctx     context.Context
 	cancel  context.CancelFunc
+	stopped bool
 	// deputy is the member that grants from the reserve.
 	deputy string
 	// granting is set while the right to grant has lasted without interruption.
@@ -79,6 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel()
+	w.stopped = true
 	for _, waiting := range w.waiters {
 		if waiting.answer != nil {
 			waiting.answer <- AcquireResult{} // the requester asks the new owner
@@ -114,6 +117,9 @@
 // mayGrant is checked right before each decision, so that a process that was
 // paused past its lease grants nothing.
 func (w *owned) mayGrant() error {
+	if w.stopped {
+		return failure.NotRun(failure.Draining, "host %s has given pool %s up", w.owner.members.Self(), w.key.pool)
+	}
 	return w.owner.members.MayGrant(w.owner.now(), w.key.pool, w.key.role)
 }
 
@@ -223,7 +229,7 @@
 		case pool.Refuse:
 			w.answer(c.RequestID, AcquireResult{Refusal: &Refusal{Reason: c.Reason, RetryAfter: c.RetryAfter}})
 		case pool.CancelAtUpstream:
-			w.owner.events.Record("upstream.cancel", c.RequestID, "upstream", c.Upstream)
+			w.owner.events.Record("upstream-cancel", c.RequestID, "upstream", c.Upstream)
 			go w.cancelAtUpstream(w.ctx, c)
 		}
 	}
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -82,7 +82,7 @@
 		if _, ok := wanted[key]; !ok {
 			own.stop()
 			delete(o.pools, key)
-			o.events.Record("pool.released", "", "pool", key.pool, "role", string(key.role))
+			o.events.Record("pool-released", "", "pool", key.pool, "role", string(key.role))
 		}
 	}
 	for key, p := range wanted {
@@ -97,7 +97,7 @@
 		own.deputy = o.deputyOf(key)
 		o.pools[key] = own
 		own.start(ctx)
-		o.events.Record("pool.owned", "", "pool", key.pool, "role", string(key.role))
+		o.events.Record("pool-owned", "", "pool", key.pool, "role", string(key.role))
 	}
 }
 
@@ -158,11 +158,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			for _, own := range o.pools {
-				own.stop()
-			}
+			o.Reset()
 			return
 		case <-ticker.C:
 			for _, own := range o.all() {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -21,7 +21,7 @@
 // CallPlain sends a request to a plain service. A call that must not be repeated
 // is recorded first and sent at most once.
 func (r *Relay) CallPlain(ctx context.Context, call *Call) (CallResult, error) {
-	r.Events.Record("request.accepted", call.RequestID, "service", call.Service.Name, "account", call.Account.Name)
+	r.Events.Record("request-accepted", call.RequestID, "service", call.Service.Name, "account", call.Account.Name)
 	if r.Budget != nil {
 		r.Budget.Attempt()
 	}
@@ -33,10 +33,10 @@
 		result, err = r.callOnce(ctx, call)
 	}
 	if err != nil {
-		r.Events.Record("request.failed", call.RequestID, "error", string(failure.From(err).Kind()))
+		r.Events.Record("request-failed", call.RequestID, "error", string(failure.From(err).Kind()))
 		return result, err
 	}
-	r.Events.Record("request.done", call.RequestID, "status", itoa(result.Response.Status))
+	r.Events.Record("request-done", call.RequestID, "status", itoa(result.Response.Status))
 	return result, nil
 }
 
@@ -57,7 +57,7 @@
 		if !failure.Is(err, failure.DeadlineExceeded) {
 			exclude = append(exclude, t.upstream.Name)
 		}
-		r.Events.Record("request.retried", call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
+		r.Events.Record("request-retried", call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
 	}
 }
 
@@ -78,7 +78,7 @@
 			}
 			return CallResult{Response: *earlier, Replayed: true}, nil
 		}
-		r.Events.Record("call.claimed", call.RequestID, "key", call.IdempotencyKey)
+		r.Events.Record("call-claimed", call.RequestID, "key", call.IdempotencyKey)
 		response, err := r.send(ctx, call, t)
 		if err == nil {
 			r.finishClaim(ctx, call, claim, response)
@@ -104,7 +104,7 @@
 func (r *Relay) finishClaim(ctx context.Context, call *Call, claim *idempotency.Claim, response idempotency.Response) {
 	if err := claim.Finish(context.WithoutCancel(ctx), response); err != nil {
 		r.Log.Info("outcome of a call is not recorded yet", "request", call.RequestID, "error", err.Error())
-		r.Events.Record("call.outcome-delayed", call.RequestID)
+		r.Events.Record("call-outcome-delayed", call.RequestID)
 	}
 }
 
@@ -114,7 +114,7 @@
 		t.held.Release(pool.NeverSent, false)
 		return idempotency.Response{}, err
 	}
-	r.Events.Record("request.sent", call.RequestID, "upstream", t.upstream.Name)
+	r.Events.Record("request-sent", call.RequestID, "upstream", t.upstream.Name)
 	// A call that was sent is not cancelled when its caller leaves, because that would make its outcome unknown.
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Service.Deadline)
 	defer cancel()
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -36,7 +36,7 @@
 // while nothing was written; later failures are written as an error event.
 func (r *Relay) Generate(ctx context.Context, call *Call, w *stream.Writer) error {
 	g := &generation{relay: r, call: call, sink: newSink(call, w, r.MaxWholeBytes)}
-	r.Events.Record("request.accepted", call.RequestID, "service", call.Service.Name, "account", call.Account.Name)
+	r.Events.Record("request-accepted", call.RequestID, "service", call.Service.Name, "account", call.Account.Name)
 	if r.Budget != nil {
 		r.Budget.Attempt()
 	}
@@ -46,7 +46,7 @@
 		return nil
 	}
 	err = g.typed(err)
-	r.Events.Record("request.failed", call.RequestID, "error", string(failure.From(err).Kind()))
+	r.Events.Record("request-failed", call.RequestID, "error", string(failure.From(err).Kind()))
 	if !w.Started() {
 		return err
 	}
@@ -67,7 +67,7 @@
 		if !failure.Is(err, failure.DeadlineExceeded) { // an old permit says nothing about the upstream
 			g.exclude = append(g.exclude, t.upstream.Name)
 		}
-		g.relay.Events.Record("request.retried", g.call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
+		g.relay.Events.Record("request-retried", g.call.RequestID, "upstream", t.upstream.Name, "cause", err.Error())
 	}
 }
 
@@ -77,7 +77,7 @@
 		t.held.Release(pool.NeverSent, false)
 		return err
 	}
-	g.relay.Events.Record("request.sent", g.call.RequestID, "upstream", t.upstream.Name, "incarnation", t.held.Permit().Incarnation)
+	g.relay.Events.Record("request-sent", g.call.RequestID, "upstream", t.upstream.Name, "incarnation", t.held.Permit().Incarnation)
 	// The request outlives its caller's connection by resumeGrace.
 	upCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -118,7 +118,7 @@
 		}
 		t.held.Token()
 		if next == 0 {
-			g.relay.Events.Record("token.first", g.call.RequestID, "upstream", t.upstream.Name, "generation", token.Generation)
+			g.relay.Events.Record("token-first", g.call.RequestID, "upstream", t.upstream.Name, "generation", token.Generation)
 		}
 		next = token.Offset + 1
 		if err := g.sink.token(stream.EventID{Generation: token.Generation, Offset: token.Offset}, token.Text); err != nil {
@@ -164,16 +164,16 @@
 	t.held.Release(pool.Completed, false)
 	g.observe(t, true)
 	if err != nil {
-		g.relay.Events.Record("caller.gone", g.call.RequestID)
+		g.relay.Events.Record("caller-gone", g.call.RequestID)
 		return errCallerGone
 	}
-	g.relay.Events.Record("request.done", g.call.RequestID, "tokens", itoa(count), "generation", token.Generation)
+	g.relay.Events.Record("request-done", g.call.RequestID, "tokens", itoa(count), "generation", token.Generation)
 	return nil
 }
 
 // callerGone keeps the generation for resumeGrace and then cancels it.
 func (g *generation) callerGone(t target) error {
-	g.relay.Events.Record("caller.gone", g.call.RequestID)
+	g.relay.Events.Record("caller-gone", g.call.RequestID)
 	held := t.held
 	time.AfterFunc(resumeGrace, func() { held.Release(pool.Cancelled, true) })
 	return errCallerGone
@@ -185,7 +185,7 @@
 	if g.sink.held() {
 		return nil // an answer that is held until complete cannot move; the caller has no token yet
 	}
-	g.relay.Events.Record("stream.handover", g.call.RequestID, "offset", itoa(next))
+	g.relay.Events.Record("stream-handover", g.call.RequestID, "offset", itoa(next))
 	t.held.Detach()
 	err := g.sink.event(stream.EventHandover, stream.HandoverData{
 		ResumeToken: g.relay.Signer.Sign(g.token(t, generation, next)), Hosts: g.relay.OtherHosts(),
@@ -209,12 +209,12 @@
 		}
 		tokens, err := g.relay.Engine.Resume(upCtx, t.upstream.Address, g.call.RequestID, g.lastGen, next)
 		if err == nil {
-			g.relay.Events.Record("stream.resumed", g.call.RequestID, "upstream", t.upstream.Name, "offset", itoa(next))
+			g.relay.Events.Record("stream-resumed", g.call.RequestID, "upstream", t.upstream.Name, "offset", itoa(next))
 			return tokens, nil
 		}
 		cause = err
 	}
-	g.relay.Events.Record("upstream.lost", g.call.RequestID, "upstream", t.upstream.Name, "offset", itoa(next))
+	g.relay.Events.Record("upstream-lost", g.call.RequestID, "upstream", t.upstream.Name, "offset", itoa(next))
 	return nil, lostError{cause: cause, upstream: t.upstream.Name}
 }
 
@@ -263,7 +263,7 @@
 		if g.sink.restart(stream.RestartData{Voided: g.lastGen}) != nil {
 			return false
 		}
-		g.relay.Events.Record("stream.restart", g.call.RequestID, "voided", g.lastGen)
+		g.relay.Events.Record("stream-restart", g.call.RequestID, "voided", g.lastGen)
 		g.delivered, g.lastGen = false, ""
 	}
 	return true
@@ -323,7 +323,7 @@
 		held.Release(pool.UpstreamLost, true)
 		return failure.New(failure.GenerationLost, "upstream %s cannot resume the generation: %v", token.Upstream, err)
 	}
-	r.Events.Record("stream.resumed", call.RequestID, "upstream", token.Upstream, "offset", itoa(next))
+	r.Events.Record("stream-resumed", call.RequestID, "upstream", token.Upstream, "offset", itoa(next))
 	g := &generation{relay: r, call: call, sink: directSink{w}, delivered: true}
 	err = g.relayTokens(ctx, upCtx, t, tokens, next)
 	if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, errHandover) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -163,7 +163,7 @@
 	}
 	for _, u := range p.Upstreams {
 		if u.Name == held.Permit().Upstream {
-			r.Events.Record("permit.granted", call.RequestID, "pool", p.Name, "upstream", u.Name, "version", version.Name)
+			r.Events.Record("permit-granted", call.RequestID, "pool", p.Name, "upstream", u.Name, "version", version.Name)
 			return target{held: held, pool: p, version: version, upstream: u}, nil
 		}
 	}
