--- /dev/null
+++ b/internal/permit/permit_test.go
@@ -0,0 +1,237 @@
+package permit
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// cell is the view that all daemons of a test share.
+type cell struct {
+	mu     sync.Mutex
+	owner  string
+	lapsed bool
+	owners map[string]*Owner
+}
+
+func (c *cell) Call(ctx context.Context, address, method string, params, result any) error {
+	c.mu.Lock()
+	owner := c.owners[address]
+	c.mu.Unlock()
+	if owner == nil {
+		return errors.New("unreachable")
+	}
+	switch method {
+	case MethodAcquire:
+		out, err := owner.Acquire(ctx, params.(AcquireParams))
+		*result.(*AcquireResult) = out
+		return err
+	case MethodProgress:
+		_, err := owner.Progress(ctx, *params.(*ProgressParams))
+		return err
+	}
+	return errors.New("unknown method")
+}
+
+// member is one daemon's knowledge of the cell.
+type member struct {
+	*cell
+	name string
+}
+
+func (m member) Holder(_ string, role Role) (string, string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner, m.owner, role == RoleOwner
+}
+func (m member) Self() string            { return m.name }
+func (m member) MaySend(time.Time) error { return nil }
+func (m member) MayGrant(_ time.Time, _ string, role Role) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lapsed || m.owner != m.name || role != RoleOwner {
+		return failure.NotRun(failure.Isolated, "lease lapsed")
+	}
+	return nil
+}
+
+// warmEngine reports itself warm and counts cancellations.
+type warmEngine struct {
+	upstream.Engine
+	running   atomic.Int64
+	cancelled atomic.Int64
+}
+
+func (e *warmEngine) Load(context.Context, string) (upstream.Report, error) {
+	return upstream.Report{Incarnation: "i1", Running: int(e.running.Load()), At: time.Now()}, nil
+}
+func (e *warmEngine) CacheEvents(context.Context, string, uint64) ([]upstream.CacheEvent, error) {
+	return nil, nil
+}
+func (e *warmEngine) Cancel(context.Context, string, string) error {
+	e.cancelled.Add(1)
+	e.running.Add(-1)
+	return nil
+}
+
+type noEvents struct{}
+
+func (noEvents) Record(string, string, ...string) {}
+
+type world struct {
+	*cell
+	engine *warmEngine
+	conf   *entity.Configuration
+	ctx    context.Context
+}
+
+func newWorld(t *testing.T, names ...string) *world {
+	t.Helper()
+	p := entity.Pool{
+		Name: "p", Kind: entity.KindEngine, Limits: entity.Limits{ColdRequests: 2, MaxRequests: 4, TargetStep: 62 * time.Millisecond},
+		Upstreams: []entity.Upstream{{Name: "e1", Address: "e1", Pool: "p"}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	w := &world{
+		cell: &cell{owner: names[0], owners: map[string]*Owner{}}, engine: &warmEngine{}, ctx: ctx,
+		conf: &entity.Configuration{Revision: 1, Text: &entity.ServiceText{Pools: []entity.Pool{p}}},
+	}
+	for _, name := range names {
+		o := NewOwner(member{w.cell, name}, w.engine, nil, noEvents{}, logr.Discard())
+		o.Reserve = false
+		w.owners[name] = o
+		o.Sync(ctx, w.conf, 1)
+		go o.Run(ctx)
+	}
+	return w
+}
+
+func (w *world) client(name string) *Client {
+	c := NewClient(w.cell, member{w.cell, name}, logr.Discard())
+	go c.Run(w.ctx)
+	return c
+}
+
+func (w *world) move(owner string, epoch uint64) {
+	w.mu.Lock()
+	w.owner = owner
+	w.mu.Unlock()
+	for _, o := range w.owners {
+		o.Sync(w.ctx, w.conf, epoch)
+	}
+}
+
+func request(id string) pool.Request {
+	return pool.Request{ID: id, Service: "s", Account: "a", Weight: 1, MaxQueued: 10, PromptTokens: 10}
+}
+
+// Guards against a new owner that does not know the running requests: it would
+// grant the slots a second time, or cancel streams that go on.
+func TestNewOwnerAdoptsRunningPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a", "b")
+		holder := w.client("c")
+		var held []*Held
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			h, err := holder.Acquire(t.Context(), "p", request(id))
+			require.NoError(t, err)
+			w.engine.running.Add(1)
+			held = append(held, h)
+		}
+		w.move("b", 2)
+		for range 40 { // 20 s, twice the permit term
+			for _, h := range held {
+				h.Token()
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.Zero(t, w.engine.cancelled.Load(), "a running request was cancelled")
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := holder.Acquire(ctx, "p", request("r5"))
+		require.True(t, failure.Is(err, failure.DeadlineExceeded), "a fifth request was admitted: %v", err)
+
+		held[0].Release(pool.Completed, false)
+		w.engine.running.Add(-1)
+		_, err = holder.Acquire(t.Context(), "p", request("r6"))
+		require.NoError(t, err)
+	})
+}
+
+// Guards against grants by a daemon whose lease has lapsed, as after a pause.
+func TestNoGrantAfterTheLeaseLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		w.mu.Lock()
+		w.lapsed = true
+		w.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err := w.client("c").Acquire(ctx, "p", request("r1"))
+		require.Error(t, err)
+		require.True(t, failure.From(err).NotRun())
+	})
+}
+
+// Guards against a slot that is used again while the request of a silent holder
+// still runs at the upstream.
+func TestSilentHolderIsCancelledBeforeItsSlotIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		silent := NewClient(w.cell, member{w.cell, "c"}, logr.Discard()) // sends no digests
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			_, err := silent.Acquire(t.Context(), "p", request(id))
+			require.NoError(t, err)
+			w.engine.running.Add(1)
+		}
+		_, err := w.client("d").Acquire(t.Context(), "p", request("r5"))
+		require.NoError(t, err)
+		require.Positive(t, w.engine.cancelled.Load())
+	})
+}
+
+// Guards against a request that is sent long after its permit was granted,
+// because its process was paused in between.
+func TestOldPermitIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		h, err := w.client("c").Acquire(t.Context(), "p", request("r1"))
+		require.NoError(t, err)
+		require.NoError(t, h.MaySend())
+		time.Sleep(dispatchTimeout + time.Millisecond)
+		require.True(t, failure.From(h.MaySend()).NotRun())
+	})
+}
+
+// Guards against a daemon that takes a resumed stream back, or cancels it, with a
+// late digest.
+func TestStreamStaysWithTheHostThatResumedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		first, second := w.client("c"), w.client("d")
+		h, err := first.Acquire(t.Context(), "p", request("r1"))
+		require.NoError(t, err)
+		w.engine.running.Add(1)
+		resumed := second.Adopt("p", Running{Permit: h.Permit(), Progress: pool.Progress{PermitID: h.Permit().ID}})
+		time.Sleep(time.Second)
+		h.Release(pool.Cancelled, true)
+		time.Sleep(time.Second)
+		require.Zero(t, w.engine.cancelled.Load())
+		resumed.Release(pool.Cancelled, true)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 1, w.engine.cancelled.Load())
+	})
+}
