--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -87,6 +87,20 @@
 			f()
 		}
 	}
+	round := func() {
+		for _, a := range m.nodes {
+			for _, b := range m.nodes {
+				if a != b && !a.paused && !a.stopped {
+					call(a, b)
+				}
+			}
+		}
+		for range 2 {
+			for _, n := range m.nodes {
+				drain(n)
+			}
+		}
+	}
 	return map[string]func(*rapid.T){
 		"advance": func(t *rapid.T) {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
@@ -105,19 +119,28 @@
 				call(a, b)
 			}
 		},
-		// A complete round of calls, which makes outage mode likely enough to matter.
-		"round": func(t *rapid.T) {
-			for _, a := range m.nodes {
-				for _, b := range m.nodes {
-					if a != b && !a.paused && !a.stopped {
-						call(a, b)
-					}
+		"round": func(t *rapid.T) { round() },
+		// A part of the daemons loses the store and the other part.
+		"split": func(t *rapid.T) {
+			for i, a := range m.nodes {
+				a.paused, a.storeOut = false, rapid.Bool().Draw(t, "out")
+				for j, b := range m.nodes[:i] {
+					m.cut[[2]int{i, j}] = a.storeOut != b.storeOut
+					m.cut[[2]int{j, i}] = a.storeOut != b.storeOut
 				}
 			}
-			for range 2 {
+		},
+		// The daemons work as usual for a while, as far as the faults let them.
+		"work": func(t *rapid.T) {
+			for range rapid.IntRange(1, 8).Draw(t, "ticks") {
+				m.now = m.now.Add(HeartbeatEvery)
 				for _, n := range m.nodes {
-					drain(n)
+					if !n.paused && !n.stopped && !n.storeOut {
+						n.tracker.ObserveStoreRead(m.now, m.now, m.view, m.head)
+					}
 				}
+				round()
+				m.check(t)
 			}
 		},
 		"deliver": func(t *rapid.T) {
@@ -245,7 +268,7 @@
 	for _, n := range m.nodes {
 		s := n.tracker.Snapshot()
 		for _, a := range m.accepted {
-			if s.Revision < a.revision && m.now.Sub(a.at) >= Validity && s.MaySend(m.now) == nil {
+			if !n.stopped && s.Revision < a.revision && m.now.Sub(a.at) >= Validity && s.MaySend(m.now) == nil {
 				t.Fatalf("%s sends by revision %d although %d was accepted %v ago", s.Self.Name, s.Revision, a.revision, m.now.Sub(a.at))
 			}
 		}
