Add the membership runner

It joins by compare-and-set on the cell's view row with a check of the head in the same transaction, polls, calls the members, pushes and pulls log entries, removes dead members, writes the in-force entry and leaves on stop.

--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -205,8 +205,8 @@
 	}
 }
 
-// reach brings the follower to the head that was read.
-func (l *Log) reach(ctx context.Context, head Head) error {
+// Reach brings the follower to the head that was read.
+func (l *Log) Reach(ctx context.Context, head Head) error {
 	if head.Complete && l.follower.Revision()+1 == head.Revision {
 		_, err := l.follower.Apply(head.Latest)
 		return err
@@ -224,7 +224,7 @@
 	if err != nil {
 		return head, err
 	}
-	return head, l.reach(ctx, head)
+	return head, l.Reach(ctx, head)
 }
 
 // Commit appends the change and returns its revision. expect is the revision that
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -27,8 +27,8 @@
 	Streams  int    `json:"s,omitempty"`
 }
 
-// farEpoch tells Heartbeat that the other daemon needs no view.
-const farEpoch = ^uint64(0)
+// NoView is the epoch to pass to Tracker.Heartbeat for a message without a view.
+const NoView = ^uint64(0)
 
 // storeAge returns the age of the sender's contact with the store.
 func (h Heartbeat) storeAge() time.Duration { return time.Duration(h.StoreAge) * time.Millisecond }
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -51,7 +51,7 @@
 func (m *model) writeView(n *modelNode, next View) {
 	oldest := n.tracker.Prunable(m.now)
 	if n.tracker.Snapshot().View.Epoch == m.view.Epoch {
-		next = next.prune(oldest)
+		next = next.Prune(oldest)
 	}
 	next.Floor = m.head
 	m.view = next
@@ -70,7 +70,7 @@
 		if !m.link(a.index, b.index) || b.paused || b.stopped {
 			return
 		}
-		sent, request := m.now, a.tracker.Heartbeat(m.now, farEpoch)
+		sent, request := m.now, a.tracker.Heartbeat(m.now, NoView)
 		serve := func() {
 			b.tracker.ObserveRequest(m.now, request)
 			answer := b.tracker.Heartbeat(m.now, request.Epoch)
@@ -193,6 +193,11 @@
 			self := n.tracker.Snapshot().Self
 			if !n.storeOut && m.view.Has(self) && len(m.view.Changes) <= 24 {
 				n.stopped, n.pending = true, nil
+				n.tracker.Stop(m.now)
+				to := active(t)
+				for _, pool := range modelPools {
+					to.pending = append(to.pending, func() { to.tracker.ObserveHandover(m.now, pool, self, ForGood) })
+				}
 				m.writeView(n, m.view.Remove(true, self))
 			}
 		},
--- /dev/null
+++ b/internal/membership/runner/heartbeat.go
@@ -0,0 +1,142 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/membership"
+)
+
+// The methods between daemons.
+const (
+	MethodHeartbeat = "member.heartbeat"
+	MethodDelta     = "config.delta"
+	MethodRead      = "config.read"
+)
+
+// Register sets the handlers of the runner's methods.
+func (r *Runner) Register(server Registrar) {
+	handle(r, server, MethodHeartbeat, r.onHeartbeat)
+	handle(r, server, MethodDelta, r.onDelta)
+	handle(r, server, MethodRead, r.onRead)
+}
+
+func handle[P, R any](r *Runner, server Registrar, method string, handler func(P) (R, error)) {
+	server.Handle(method, func(_ context.Context, raw json.RawMessage) (any, error) {
+		// A daemon that has left must not count as a contact of others.
+		if r.stopped.Load() {
+			return nil, failure.NotRun(failure.Draining, "host %s has left the cell", r.config.Self.Name)
+		}
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, failure.NotRun(failure.InvalidRequest, "parameters of %s: %v", method, err)
+		}
+		return handler(params)
+	})
+}
+
+func (r *Runner) onHeartbeat(request membership.Heartbeat) (membership.Heartbeat, error) {
+	if request.Name == "" || request.Name == r.config.Self.Name {
+		return membership.Heartbeat{}, failure.NotRun(failure.InvalidRequest, "heartbeat of host %q to host %q", request.Name, r.config.Self.Name)
+	}
+	now := r.now()
+	r.tracker.ObserveRequest(now, request)
+	return r.tracker.Heartbeat(now, request.Epoch), nil
+}
+
+func (r *Runner) onDelta(delta Delta) (DeltaAnswer, error) {
+	if err := r.applyDelta(delta); err != nil {
+		r.config.Logger.V(1).Info("delta not applied", "from", delta.From, "error", err.Error())
+	}
+	revision := r.follower.Revision()
+	if n := len(delta.Entries); n > 0 && delta.Entries[n-1].Revision > revision {
+		r.wantPull()
+	}
+	return DeltaAnswer{Revision: revision}, nil
+}
+
+func (r *Runner) onRead(request ReadRequest) (Delta, error) {
+	delta := Delta{From: r.config.Self.Name}
+	entries, ok := r.follower.Since(request.After)
+	if !ok {
+		snapshot := r.follower.Snapshot()
+		delta.Snapshot = &snapshot
+		return delta, nil
+	}
+	delta.Entries = entries
+	return delta, nil
+}
+
+func (r *Runner) heartbeatLoop(ctx context.Context) {
+	every(ctx, membership.HeartbeatEvery, func() {
+		s := r.tracker.Snapshot()
+		for _, host := range s.Hosts() {
+			if host.Name != s.Self.Name {
+				r.startHeartbeat(ctx, host.PeerAddress)
+			}
+		}
+		if !s.Ready && r.storeFailed.Load() {
+			r.startInOutage(ctx, s)
+		}
+	})
+}
+
+// startHeartbeat calls the address unless a call to it is under way.
+func (r *Runner) startHeartbeat(ctx context.Context, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calling[address] {
+		return
+	}
+	r.calling[address] = r.spawn(func() {
+		r.heartbeat(ctx, address)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.calling, address)
+	})
+}
+
+func (r *Runner) heartbeat(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := r.now()
+	var answer membership.Heartbeat
+	err := r.config.Peers.Call(ctx, address, MethodHeartbeat, r.tracker.Heartbeat(sent, membership.NoView), &answer)
+	if err != nil {
+		r.config.Logger.V(1).Info("heartbeat not answered", "address", address, "error", err.Error())
+		return
+	}
+	r.tracker.ObserveHeartbeat(r.now(), sent, answer)
+	r.observed()
+	if s := r.tracker.Snapshot(); s.KnownHead > s.Revision {
+		r.wantPull()
+	}
+}
+
+// startInOutage looks for the cell by the host list, which is only a hint, and
+// becomes ready once a strict majority of the highest view found has answered.
+func (r *Runner) startInOutage(ctx context.Context, s *membership.Snapshot) {
+	if r.tracker.ReadyByMajority(r.now()) {
+		r.config.Logger.Info("started during a store outage", "revision", s.Revision, "epoch", s.View.Epoch)
+		r.record("started-in-outage")
+		return
+	}
+	if r.config.Hosts == nil {
+		return
+	}
+	r.spawn(func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		hosts, err := r.config.Hosts.Hosts(ctx)
+		if err != nil {
+			r.config.Logger.V(1).Info("host list not read", "error", err.Error())
+			return
+		}
+		for _, host := range hosts {
+			if host.Address != r.config.Self.PeerAddress {
+				r.heartbeat(ctx, host.Address)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/runner/runner.go
@@ -0,0 +1,251 @@
+// Package runner connects the membership tracker and the change log to the table
+// service and to the other daemons.
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rattanscale/rattanscale/internal/changelog"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/platform"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	// callTimeout bounds calls to other daemons. It is longer than the interval of
+	// heartbeats: a daemon that answers late stays in contact.
+	callTimeout = time.Second
+	// readTimeout bounds one read of the store. A slow read still confirms, from its start.
+	readTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+)
+
+// Caller calls a method of another daemon. *peer.Client is one.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
+// Registrar takes the handlers of methods. *peer.Server is one.
+type Registrar interface {
+	Handle(method string, handler func(ctx context.Context, params json.RawMessage) (any, error))
+}
+
+// Config holds what a Runner needs. Everything stays the property of the caller,
+// who closes it after Run has returned.
+type Config struct {
+	Cell string
+	// Self describes the daemon; its incarnation is set by the runner.
+	Self  membership.Member
+	Table platform.Table
+	// Hosts is the hint for the first contact during a store outage; it may be nil.
+	Hosts platform.HostList
+	Log   *changelog.Log
+	Peers Caller
+	// Local returns what the daemon reports of itself; nil reports nothing.
+	Local func() membership.Local
+	// Clock returns the time with a monotonic reading; nil means time.Now.
+	Clock  func() time.Time
+	Logger logr.Logger
+	// Timeline may be nil.
+	Timeline *timeline.Recorder
+	// OnView is called after the daemon has taken over a view of a higher epoch. It
+	// must return soon and may be nil. Calls do not overlap.
+	OnView func(old, new membership.View)
+}
+
+// Runner keeps a daemon's membership and configuration up to date. Register is
+// called first, then Run once. The other methods are safe for concurrent use.
+type Runner struct {
+	config   Config
+	tracker  *membership.Tracker
+	follower *changelog.Follower
+
+	polling sync.Mutex // held during a poll
+	mu      sync.Mutex
+	row     viewRow
+	joined  bool            // this process has been a member
+	calling map[string]bool // members with a heartbeat in flight
+	dead    map[membership.Identity]time.Time
+
+	storeFailed atomic.Bool
+	stopped     atomic.Bool
+	pulls       chan struct{}
+
+	viewMu   sync.Mutex // held during OnView
+	lastView membership.View
+
+	workMu  sync.Mutex
+	closing bool
+	work    sync.WaitGroup
+}
+
+// viewRow is the latest reading of the cell's view row, with the head.
+type viewRow struct {
+	view    membership.View
+	version uint64
+	head    changelog.Head
+}
+
+// New returns a runner whose daemon is not a member yet.
+func New(config Config) *Runner {
+	if config.Clock == nil {
+		config.Clock = time.Now
+	}
+	if config.Local == nil {
+		config.Local = func() membership.Local { return membership.Local{} }
+	}
+	if config.Logger.GetSink() == nil {
+		config.Logger = logr.Discard()
+	}
+	now := config.Clock()
+	config.Self.Incarnation = uint64(now.UnixMilli())
+	return &Runner{
+		config: config, tracker: membership.NewTracker(config.Cell, config.Self.Identity, now), follower: config.Log.Follower(),
+		calling: map[string]bool{}, dead: map[membership.Identity]time.Time{}, pulls: make(chan struct{}, 1),
+	}
+}
+
+// Tracker returns the tracker, for its snapshots and for handovers.
+func (r *Runner) Tracker() *membership.Tracker { return r.tracker }
+
+// Run keeps the membership until ctx ends and then leaves the view. Before that
+// the daemon must have stopped granting and sending. It returns an error only
+// when another process has joined under the daemon's name.
+func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	loops := []func(context.Context){r.tickLoop, r.heartbeatLoop, r.pullLoop, func(ctx context.Context) { r.pollLoop(ctx, cancel) }}
+	var wg sync.WaitGroup
+	for _, loop := range loops {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+	r.workMu.Lock()
+	r.closing = true
+	r.workMu.Unlock()
+	r.work.Wait()
+	r.stopped.Store(true)
+	r.tracker.Stop(r.now())
+	if cause := context.Cause(ctx); failure.Is(cause, failure.Conflict) {
+		return cause
+	}
+	r.leave(context.WithoutCancel(ctx))
+	return nil
+}
+
+func (r *Runner) now() time.Time { return r.config.Clock() }
+
+func (r *Runner) record(kind timeline.Kind, attributes ...timeline.Attribute) {
+	if r.config.Timeline != nil {
+		r.config.Timeline.Record(kind, "", attributes...)
+	}
+}
+
+// spawn runs f in a goroutine that Run waits for. It reports false, and does
+// nothing, once Run is about to return.
+func (r *Runner) spawn(f func()) bool {
+	r.workMu.Lock()
+	defer r.workMu.Unlock()
+	if r.closing {
+		return false
+	}
+	r.work.Go(f)
+	return true
+}
+
+// every calls f at once and then at the interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Runner) tickLoop(ctx context.Context) {
+	every(ctx, tickEvery, func() {
+		r.tracker.SetLocal(r.now(), r.config.Local())
+	})
+}
+
+func (r *Runner) pollLoop(ctx context.Context, cancel context.CancelCauseFunc) {
+	every(ctx, membership.PollEvery, func() {
+		if !r.mustPoll() {
+			return
+		}
+		r.polling.Lock()
+		defer r.polling.Unlock()
+		if err := r.poll(ctx); err != nil {
+			r.config.Logger.V(1).Info("table service not read", "error", err.Error())
+			return
+		}
+		if err := r.ensureMember(ctx); err != nil {
+			r.config.Logger.Error(err, "the daemon cannot be a member")
+			cancel(err)
+			return
+		}
+		r.maintain(ctx)
+	})
+}
+
+// mustPoll reports whether the daemon reads the store at this tick: pollers and
+// daemons that are not members always do, others when their confirmation is old.
+func (r *Runner) mustPoll() bool {
+	s := r.tracker.Snapshot()
+	if !s.Ready || !s.View.Has(s.Self) {
+		return true
+	}
+	for _, name := range s.Pollers() {
+		if name == s.Self.Name {
+			return true
+		}
+	}
+	return r.now().Sub(s.ConfirmedAt()) > membership.StaleAfter
+}
+
+// observed notes the effects of new knowledge: a new revision and a new view.
+func (r *Runner) observed() {
+	r.tracker.SetApplied(r.now(), r.follower.Revision())
+	s := r.tracker.Snapshot()
+	r.viewMu.Lock()
+	defer r.viewMu.Unlock()
+	if s.View.Epoch <= r.lastView.Epoch {
+		return
+	}
+	old := r.lastView
+	r.lastView = s.View
+	r.record("view-changed", timeline.Attr("epoch", s.View.Epoch), timeline.Attr("members", len(s.View.Members)))
+	r.config.Logger.Info("view changed", "epoch", s.View.Epoch, "members", len(s.View.Members))
+	if r.config.OnView != nil {
+		r.config.OnView(old, s.View)
+	}
+}
+
+// jitter spreads a pause over half of it to one and a half of it.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// pause waits and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/membership/runner/view.go
@@ -0,0 +1,209 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/changelog"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/platform"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+)
+
+const (
+	viewPartition = "cells"
+	// pruneAbove and maxChanges bound the changes in the view row. Joins wait at
+	// maxChanges until a poller has found earlier views unusable.
+	pruneAbove = 16
+	maxChanges = 96
+
+	writeAttempts = 8
+	retryPause    = 20 * time.Millisecond
+)
+
+func (r *Runner) viewKey() platform.Key {
+	return platform.Key{Partition: viewPartition, Sort: r.config.Cell}
+}
+
+// readRow reads the view row and the head.
+func (r *Runner) readRow(ctx context.Context) (viewRow, error) {
+	var row viewRow
+	item, err := r.config.Table.Get(ctx, r.viewKey())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return row, failure.NotRun(failure.StoreUnavailable, "table service: %v", err)
+	}
+	if err == nil {
+		if err := json.Unmarshal(item.Value, &row.view); err != nil {
+			return row, failure.New(failure.Internal, "view row of cell %s: %v", r.config.Cell, err)
+		}
+		row.version = item.Version
+	}
+	row.head, err = r.config.Log.Head(ctx)
+	return row, err
+}
+
+// writeView replaces the view row that was read. The head is checked in the same
+// transaction, so the floor of the view is exact. It reports whether the view was
+// written; after a lost answer the next poll tells.
+func (r *Runner) writeView(ctx context.Context, row viewRow, next membership.View) bool {
+	if r.tracker.Snapshot().View.Epoch == row.view.Epoch {
+		next = next.Prune(r.tracker.Prunable(r.now()))
+	}
+	next.Floor = row.head.Revision
+	value, err := json.Marshal(next)
+	if err != nil {
+		r.config.Logger.Error(err, "view not encoded")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	started := r.now()
+	err = r.config.Table.Commit(ctx,
+		platform.Write{Kind: platform.Put, Key: r.viewKey(), Expect: row.version, Value: value},
+		platform.Write{Kind: platform.Check, Key: changelog.HeadKey, Expect: row.head.Version})
+	if err != nil {
+		r.config.Logger.Info("view not written", "epoch", next.Epoch, "error", err.Error())
+		return false
+	}
+	r.setRow(viewRow{view: next, version: row.version + 1, head: row.head})
+	r.tracker.ObserveStoreRead(r.now(), started, next, row.head.Revision)
+	r.observed()
+	return true
+}
+
+func (r *Runner) setRow(row viewRow) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.row = row
+}
+
+func (r *Runner) currentRow() viewRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.row
+}
+
+// ensureMember joins when the daemon is not in the view: at its start, and with a
+// new incarnation after it was removed. It returns an error when another process
+// has taken the daemon's name. The caller holds polling.
+func (r *Runner) ensureMember(ctx context.Context) error {
+	for range writeAttempts {
+		row := r.currentRow()
+		self := r.tracker.Snapshot().Self
+		if row.view.Has(self) {
+			r.setJoined()
+			return nil
+		}
+		other, taken := row.view.Member(self.Name)
+		if taken && r.hasJoined() && other.Incarnation > self.Incarnation {
+			return failure.New(failure.Conflict, "another process has joined as host %s; give each host its own host.name", self.Name)
+		}
+		if len(row.view.Changes) >= maxChanges {
+			r.config.Logger.Info("join waits for earlier views to end", "changes", len(row.view.Changes))
+			return nil
+		}
+		if r.hasJoined() || taken && other.Incarnation >= self.Incarnation {
+			self.Incarnation = max(uint64(r.now().UnixMilli()), self.Incarnation+1, other.Incarnation+1)
+			r.tracker.SetIncarnation(r.now(), self.Incarnation)
+		}
+		member := r.config.Self
+		member.Identity = self
+		if r.writeView(ctx, row, row.view.Join(member)) {
+			r.setJoined()
+			r.record("member-joined", timeline.Attr("epoch", row.view.Epoch+1), timeline.Attr("incarnation", self.Incarnation))
+			return nil
+		}
+		if !pause(ctx, jitter(retryPause)) || r.poll(ctx) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Runner) setJoined() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.joined = true
+}
+
+func (r *Runner) hasJoined() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.joined
+}
+
+// maintain removes dead members, shortens the view row and writes the in-force
+// entry. The first live member in rendezvous order does it; the others follow one
+// second apart in case it does not. The caller holds polling.
+func (r *Runner) maintain(ctx context.Context) {
+	now := r.now()
+	dead := r.tracker.ToRemove(now)
+	s := r.tracker.Snapshot()
+	row := r.currentRow()
+	if row.view.Epoch != s.View.Epoch || !s.View.Has(s.Self) {
+		return
+	}
+	order := slices.DeleteFunc(s.Order(), func(name string) bool {
+		return slices.ContainsFunc(dead, func(id membership.Identity) bool { return id.Name == name })
+	})
+	rank := slices.Index(order, s.Self.Name)
+	if rank < 0 {
+		return
+	}
+	if due := r.deadFor(now, dead, time.Duration(rank)*time.Second); len(due) > 0 {
+		if r.writeView(ctx, row, row.view.Remove(false, due...)) {
+			for _, id := range due {
+				r.record("member-removed", timeline.Attr("member", id.Name), timeline.Attr("epoch", row.view.Epoch+1))
+			}
+		}
+		return
+	}
+	if rank > 0 {
+		return
+	}
+	if oldest := r.tracker.Prunable(now); len(row.view.Changes) > pruneAbove && oldest >= row.view.Changes[0].Epoch {
+		r.writeView(ctx, row, row.view)
+	}
+	r.writeInForce(ctx, now)
+}
+
+// deadFor returns the members that have been found dead for at least d.
+func (r *Runner) deadFor(now time.Time, dead []membership.Identity, d time.Duration) []membership.Identity {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since := map[membership.Identity]time.Time{}
+	var due []membership.Identity
+	for _, id := range dead {
+		since[id] = now
+		if at, ok := r.dead[id]; ok {
+			since[id] = at
+		}
+		if now.Sub(since[id]) >= d {
+			due = append(due, id)
+		}
+	}
+	r.dead = since
+	return due
+}
+
+// leave removes the daemon from the view. It has stopped granting and answering.
+func (r *Runner) leave(ctx context.Context) {
+	for range writeAttempts {
+		self := r.tracker.Snapshot().Self
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		row, err := r.readRow(readCtx)
+		cancel()
+		if err != nil || !row.view.Has(self) {
+			return // without the store the others find the daemon silent
+		}
+		if r.writeView(ctx, row, row.view.Remove(true, self)) {
+			r.record("member-left", timeline.Attr("epoch", row.view.Epoch+1))
+			return
+		}
+		pause(ctx, jitter(retryPause))
+	}
+}
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -56,6 +56,7 @@
 	// KnownEpoch is the highest epoch that another daemon has shown.
 	KnownEpoch uint64
 
+	cell      string
 	hosts     []Host
 	ranking   ranking
 	pollers   []string
@@ -71,6 +72,7 @@
 // publish builds the snapshot; the caller holds the lock.
 func (t *Tracker) publish() {
 	s := &Snapshot{
+		cell: t.cell,
 		Self: t.self, View: t.view, Revision: t.revision, Ready: t.ready,
 		KnownHead: max(t.revision, t.storeHead), KnownEpoch: t.view.Epoch, past: slices.Clone(t.past), storeAt: t.storeAt,
 		ranking: t.ranking, pollers: t.pollers, contacts: make(map[string]time.Time, len(t.peers)),
@@ -92,6 +94,9 @@
 	s.hosts = t.hostRows()
 	s.freshStore, s.leaseStore = validFrom(t.freshAt), validFrom(t.leaseAt)
 	s.freshOutage, s.leaseOutage = t.outage(s)
+	if t.stopped {
+		s.freshStore, s.leaseStore, s.freshOutage, s.leaseOutage = window{}, window{}, window{}, window{}
+	}
 	t.snapshot.Store(s)
 }
 
@@ -318,5 +323,9 @@
 // order. The slice must not be changed.
 func (s *Snapshot) Pollers() []string { return s.pollers }
 
+// Order returns the names of all members in the rendezvous order of the cell, of
+// which Pollers are the first.
+func (s *Snapshot) Order() []string { return s.ranking.order(s.cell) }
+
 // Hosts returns one row for each member, sorted by name. The slice must not be changed.
 func (s *Snapshot) Hosts() []Host { return s.hosts }
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -58,6 +58,7 @@
 	pollers  []string
 	revision uint64 // highest revision that the daemon has applied
 	ready    bool
+	stopped  bool
 	view     View
 	peers    map[string]*peerState
 	// joinedAt holds when each member was first seen in the view.
@@ -127,6 +128,10 @@
 	})
 }
 
+// Stop ends the daemon's right to send and to grant for good. It must be called
+// before the daemon leaves the view by itself.
+func (t *Tracker) Stop(now time.Time) { t.update(now, func() { t.stopped = true }) }
+
 // SetApplied tells that the daemon has applied all revisions up to the given one.
 func (t *Tracker) SetApplied(now time.Time, revision uint64) {
 	t.update(now, func() { t.revision = max(t.revision, revision) })
@@ -185,8 +190,13 @@
 	return p
 }
 
-// ObserveHandover records that the previous owner has handed the pool over to
-// this daemon and, holding the given epoch, grants no permits for it any more.
+// ForGood is the epoch to pass to ObserveHandover for a daemon that is stopping.
+const ForGood = ^uint64(0)
+
+// ObserveHandover records that the run of the previous owner has handed the pool
+// over to this daemon and grants no permits for it by any view below the epoch.
+// A previous owner that holds a view in which it no longer owns the pool states
+// the epoch of that view; one that has stopped granting for good states ForGood.
 func (t *Tracker) ObserveHandover(now time.Time, pool string, from Identity, epoch uint64) {
 	t.update(now, func() {
 		key := handoverKey{pool, from}
@@ -257,13 +267,12 @@
 	})
 }
 
-// dropHandovers forgets the handovers that prove nothing about a past view.
+// dropHandovers forgets the handovers of runs that are in no view that may be in use.
 func (t *Tracker) dropHandovers() {
-	oldest := t.view.Epoch
-	if len(t.past) > 0 {
-		oldest = t.past[len(t.past)-1].epoch
-	}
-	maps.DeleteFunc(t.handovers, func(_ handoverKey, epoch uint64) bool { return epoch <= oldest })
+	maps.DeleteFunc(t.handovers, func(key handoverKey, _ uint64) bool {
+		known := func(p pastView) bool { return slices.Contains(p.ranking.ids, key.from) }
+		return !t.view.Has(key.from) && !slices.ContainsFunc(t.past, known)
+	})
 }
 
 // confirm raises freshAt and leaseAt. A contact with the store at some instant
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -42,7 +42,7 @@
 
 // call lets a call b; the answer is lost when answered is false.
 func (c *cluster) call(a, b *Tracker, answered bool) {
-	request := a.Heartbeat(c.now, farEpoch)
+	request := a.Heartbeat(c.now, NoView)
 	b.ObserveRequest(c.now, request)
 	if answer := b.Heartbeat(c.now, request.Epoch); answered {
 		a.ObserveHeartbeat(c.now, c.now, answer)
@@ -100,7 +100,7 @@
 	pool := ownedPool(t, paused)
 	require.NoError(t, paused.Snapshot().MayGrant(c.now, pool))
 	sent := c.now
-	answer := other.Heartbeat(c.now, farEpoch)
+	answer := other.Heartbeat(c.now, NoView)
 	c.now = c.now.Add(4 * time.Second) // SIGSTOP, then SIGCONT
 	assert.Error(t, paused.Snapshot().MayGrant(c.now, pool))
 	paused.ObserveHeartbeat(c.now, sent, answer)
@@ -289,8 +289,8 @@
 			c := newCluster(n)
 			c.round(c.trackers...)
 			a, peer := c.trackers[0], c.trackers[1]
-			request, _ := json.Marshal(a.Heartbeat(c.now, farEpoch))
-			answer, _ := json.Marshal(peer.Heartbeat(c.now, farEpoch))
+			request, _ := json.Marshal(a.Heartbeat(c.now, NoView))
+			answer, _ := json.Marshal(peer.Heartbeat(c.now, NoView))
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -84,8 +84,8 @@
 	return View{Epoch: v.Epoch + 1, Floor: v.Floor, Members: members, Changes: append(slices.Clone(v.Changes), change)}
 }
 
-// prune returns the view without the changes that lead to views below the epoch.
-func (v View) prune(oldest uint64) View {
+// Prune returns the view without the changes that lead to views below the epoch.
+func (v View) Prune(oldest uint64) View {
 	changes := slices.DeleteFunc(slices.Clone(v.Changes), func(c ViewChange) bool { return c.Epoch <= oldest })
 	return View{Epoch: v.Epoch, Floor: v.Floor, Members: v.Members, Changes: changes}
 }
