Add the plain service adapter and stand-in

Calls with an Idempotency-Key open their own connection: on a reused one net/http sent the call a second time after the connection broke, and the stand-in counted two runs for one key.

--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -44,6 +46,8 @@
 	changed chan struct{} // closed when the fault changes
 	broken  chan struct{} // closed when open connections must be reset
 	extra   func(Fault) bool
+	// loses tells to which requests lose-answer applies.
+	loses func(*http.Request) bool
 }
 
 // newFaultPlan returns a plan without a fault. The function extra handles the
@@ -54,6 +58,7 @@
 	}
 	return &faultPlan{
 		current: Fault{Kind: FaultNone}, changed: make(chan struct{}), broken: make(chan struct{}), extra: extra,
+		loses: func(*http.Request) bool { return true },
 	}
 }
 
@@ -147,10 +152,13 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !p.hold(r.Context()) {
+		// The server notices that the client is gone only once the body was read.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil || !p.hold(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
-		if p.takeLostAnswer() {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if p.loses(r) && p.takeLostAnswer() {
 			next.ServeHTTP(&discardWriter{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		}
--- /dev/null
+++ b/internal/upstream/plain/plain.go
@@ -0,0 +1,148 @@
+// Package plain implements upstream.Plain over HTTP.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+const (
+	// maxAnswerBytes bounds the answer of a call.
+	maxAnswerBytes = 16 << 20
+	healthTimeout  = time.Second
+)
+
+var errAnswerTooLarge = errors.New("answer exceeds the size limit")
+
+// Settings configures a Client. Zero values take the defaults.
+type Settings struct {
+	// DialTimeout bounds connection set-up (default 500 ms).
+	DialTimeout time.Duration
+	// IdlePerHost bounds the idle connections to one service (default 16).
+	IdlePerHost int
+}
+
+// Client implements upstream.Plain. It is safe for concurrent use. Close
+// releases its idle connections.
+type Client struct {
+	pooled *http.Client
+	// single opens a connection for each call with an Idempotency-Key. On a reused
+	// connection net/http repeats such a call when the connection breaks, and if
+	// the service closes it at that moment, nobody can tell whether the call ran.
+	single *http.Client
+}
+
+var _ upstream.Plain = (*Client)(nil)
+
+// New returns a client.
+func New(settings Settings) *Client {
+	if settings.DialTimeout == 0 {
+		settings.DialTimeout = 500 * time.Millisecond
+	}
+	if settings.IdlePerHost == 0 {
+		settings.IdlePerHost = 16
+	}
+	c := &Client{
+		pooled: upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
+		single: upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
+	}
+	c.single.Transport.(*http.Transport).DisableKeepAlives = true
+	return c
+}
+
+// Close releases the idle connections.
+func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+
+// Call posts the body once. Status 429 and 503 are the service's refusal and
+// give *RefusedError; every other status is an answer, because the call may
+// have run. The context bounds the call.
+func (c *Client) Call(
+	ctx context.Context, address string, request upstream.PlainRequest,
+) (upstream.PlainResponse, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := newCall(ctx, address, request)
+	if err != nil {
+		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	response, err := c.clientFor(request).Do(r)
+	if err != nil && !connected.Load() {
+		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	if err != nil {
+		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrLost, err)
+	}
+	return readAnswer(response)
+}
+
+func (c *Client) clientFor(request upstream.PlainRequest) *http.Client {
+	if request.IdempotencyKey != "" {
+		return c.single
+	}
+	return c.pooled
+}
+
+func newCall(ctx context.Context, address string, request upstream.PlainRequest) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(
+		ctx, http.MethodPost, upstream.URL(address, "/"), bytes.NewReader(request.Body),
+	)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("X-Request-Id", request.RequestID)
+	if request.ContentType != "" {
+		r.Header.Set("Content-Type", request.ContentType)
+	}
+	if request.IdempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", request.IdempotencyKey)
+	}
+	return r, nil
+}
+
+func readAnswer(response *http.Response) (upstream.PlainResponse, error) {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable {
+		return upstream.PlainResponse{}, &upstream.RefusedError{
+			Status: response.StatusCode, Message: strings.TrimSpace(string(body)),
+		}
+	}
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrLost, err)
+	}
+	return upstream.PlainResponse{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// Healthy returns nil if the service answers GET /healthz with status 200.
+func (c *Client) Healthy(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, upstream.URL(address, "/healthz"), nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.pooled.Do(r)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("health check answered status %d", response.StatusCode)
+	}
+	return nil
+}
