--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -45,13 +45,14 @@
 	current Fault
 	changed chan struct{} // closed when the fault changes
 	broken  chan struct{} // closed when open connections must be reset
-	extra   func(Fault) bool
+	// extra sees every fault except reset and reports whether it handles the kind.
+	extra func(Fault) bool
 	// loses tells to which requests lose-answer applies.
 	loses func(*http.Request) bool
 }
 
 // newFaultPlan returns a plan without a fault. The function extra handles the
-// kinds that only one stand-in knows and reports whether it knows the kind.
+// kinds that only one stand-in knows; it may be nil.
 func newFaultPlan(extra func(Fault) bool) *faultPlan {
 	if extra == nil {
 		extra = func(Fault) bool { return false }
@@ -68,9 +69,8 @@
 	case FaultReset:
 		p.breakConnections()
 		return true
-	case FaultNone:
+	case FaultNone, FaultDown, FaultSlow, FaultLoseAnswer, FaultFreeze:
 		p.extra(f)
-	case FaultDown, FaultSlow, FaultLoseAnswer, FaultFreeze:
 	default:
 		return p.extra(f)
 	}
--- /dev/null
+++ b/internal/standin/hostlist.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+type timedHosts struct {
+	hosts []platform.ListedHost
+	at    time.Time
+}
+
+// HostList emulates the platform's list of hosts, which shows changes late. It
+// is safe for concurrent use and needs no closing.
+type HostList struct {
+	lag    time.Duration
+	faults *faultPlan
+
+	mu      sync.Mutex
+	history []timedHosts // the first entry is visible
+	reads   int
+}
+
+// HostListStats is the body of GET /stats.
+type HostListStats struct {
+	Reads int `json:"reads"`
+}
+
+// NewHostList returns a list that shows a change after the lag.
+func NewHostList(lag time.Duration, initial []platform.ListedHost) *HostList {
+	return &HostList{
+		lag: lag, faults: newFaultPlan(nil),
+		history: []timedHosts{{hosts: append([]platform.ListedHost{}, initial...)}},
+	}
+}
+
+// SetFault makes the list show the fault and reports whether its kind is known.
+func (h *HostList) SetFault(f Fault) bool { return h.faults.set(f) }
+
+// Set changes the list; readers see the change after the lag.
+func (h *HostList) Set(hosts []platform.ListedHost) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.history = append(h.history, timedHosts{append([]platform.ListedHost{}, hosts...), time.Now()})
+}
+
+// Hosts returns the visible list.
+func (h *HostList) Hosts() []platform.ListedHost {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	visible := time.Now().Add(-h.lag)
+	for len(h.history) > 1 && !h.history[1].at.After(visible) {
+		h.history = h.history[1:]
+	}
+	h.reads++
+	return slices.Clone(h.history[0].hosts)
+}
+
+// Handler serves GET and PUT /hosts, POST /fault and GET /stats.
+func (h *HostList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, h.Hosts())
+	})
+	mux.HandleFunc("PUT /hosts", func(w http.ResponseWriter, r *http.Request) {
+		var hosts []platform.ListedHost
+		if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		h.Set(hosts)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		writeJSON(w, http.StatusOK, HostListStats{Reads: h.reads})
+	})
+	return h.faults.wrap(mux)
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	dynamoTarget = "DynamoDB_20120810."
+	opGet        = dynamoTarget + "GetItem"
+	opQuery      = dynamoTarget + "Query"
+	opTransact   = dynamoTarget + "TransactWriteItems"
+	// maxItemBytes and maxTransactItems are the limits of the DynamoDB protocol.
+	maxItemBytes     = 400 << 10
+	maxTransactItems = 100
+)
+
+// TableSettings describes an emulated table service.
+type TableSettings struct {
+	Delay time.Duration
+	// WritesPerSecond and ReadsPerSecond bound items; 0 means unlimited.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// PageItems bounds the items of one page of a query; 0 means as many as asked for.
+	PageItems int
+}
+
+// TableStats is the body of GET /stats.
+type TableStats struct {
+	Reads     int `json:"reads"`
+	Writes    int `json:"writes"` // items written
+	Commits   int `json:"commits"`
+	Conflicts int `json:"conflicts"`
+	Throttled int `json:"throttled"`
+	Items     int `json:"items"`
+}
+
+type tableKey struct{ table, partition, sort string }
+
+// Table emulates the subset of the DynamoDB JSON protocol that the dynamo
+// adapter uses: GetItem, Query and TransactWriteItems with the conditions
+// attribute_not_exists(pk) and ver = :v, on a primary key of the strings pk and
+// sk. It is safe for concurrent use and needs no closing.
+type Table struct {
+	settings TableSettings
+	faults   *faultPlan
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+
+	mu    sync.Mutex
+	items map[tableKey]attributes
+	stats TableStats
+}
+
+// NewTable returns an empty table service. Tables exist without being created.
+func NewTable(settings TableSettings) *Table {
+	t := &Table{
+		settings: settings, faults: newFaultPlan(nil), items: map[tableKey]attributes{},
+		writes: newLimiter(settings.WritesPerSecond), reads: newLimiter(settings.ReadsPerSecond),
+	}
+	t.faults.loses = func(r *http.Request) bool { return r.Header.Get("X-Amz-Target") == opTransact }
+	return t
+}
+
+// newLimiter allows bursts of one second's worth.
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), maxTransactItems))
+}
+
+// SetFault makes the service show the fault and reports whether its kind is known.
+func (t *Table) SetFault(f Fault) bool { return t.faults.set(f) }
+
+// Stats returns the counters.
+func (t *Table) Stats() TableStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats
+	s.Items = len(t.items)
+	return s
+}
+
+// Handler serves the protocol at POST /, and POST /fault and GET /stats.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /{$}", t.serve)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Stats())
+	})
+	return t.faults.wrap(mux)
+}
+
+func (t *Table) serve(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(t.settings.Delay)
+	operations := map[string]func(*json.Decoder) (any, *dynamoError){
+		opGet: t.getItem, opQuery: t.query, opTransact: t.transact,
+	}
+	operation, ok := operations[r.Header.Get("X-Amz-Target")]
+	if !ok {
+		writeDynamoError(w, &dynamoError{Type: "UnknownOperationException", Message: r.Header.Get("X-Amz-Target")})
+		return
+	}
+	answer, failed := operation(json.NewDecoder(r.Body))
+	if failed != nil {
+		writeDynamoError(w, failed)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (t *Table) getItem(body *json.Decoder) (any, *dynamoError) {
+	var in getItemInput
+	if err := body.Decode(&in); err != nil {
+		return nil, invalid(err.Error())
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if failed := t.admitRead(); failed != nil {
+		return nil, failed
+	}
+	return getItemOutput{Item: t.items[in.Key.key(in.TableName)]}, nil
+}
+
+// admitRead counts a read or refuses it at the rate limit.
+func (t *Table) admitRead() *dynamoError {
+	if !t.reads.Allow() {
+		t.stats.Throttled++
+		return throttled()
+	}
+	t.stats.Reads++
+	return nil
+}
+
+// query supports the key conditions "pk = :p" and "pk = :p AND sk > :after".
+func (t *Table) query(body *json.Decoder) (any, *dynamoError) {
+	var in queryInput
+	if err := body.Decode(&in); err != nil {
+		return nil, invalid(err.Error())
+	}
+	if c := in.KeyConditionExpression; c != "pk = :p" && c != "pk = :p AND sk > :after" {
+		return nil, invalid("unsupported key condition " + c)
+	}
+	after := max(in.Values[":after"].text(), in.ExclusiveStartKey["sk"].text())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if failed := t.admitRead(); failed != nil {
+		return nil, failed
+	}
+	return t.page(in, after), nil
+}
+
+func (t *Table) page(in queryInput, after string) queryOutput {
+	found := []attributes{}
+	for key, item := range t.items {
+		if key.table == in.TableName && key.partition == in.Values[":p"].text() && key.sort > after {
+			found = append(found, item)
+		}
+	}
+	slices.SortFunc(found, func(a, b attributes) int { return cmp.Compare(a["sk"].text(), b["sk"].text()) })
+	size := len(found)
+	for _, limit := range []int{in.Limit, t.settings.PageItems} {
+		if limit > 0 {
+			size = min(size, limit)
+		}
+	}
+	out := queryOutput{Items: found[:size], Count: size}
+	if size < len(found) && size > 0 {
+		last := found[size-1]
+		out.LastEvaluatedKey = attributes{"pk": last["pk"], "sk": last["sk"]}
+	}
+	return out
+}
+
+// transact applies all writes or none.
+func (t *Table) transact(body *json.Decoder) (any, *dynamoError) {
+	var in transactInput
+	if err := body.Decode(&in); err != nil {
+		return nil, invalid(err.Error())
+	}
+	writes, failed := in.writes()
+	if failed != nil {
+		return nil, failed
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.writes.AllowN(time.Now(), len(writes)) {
+		t.stats.Throttled++
+		return nil, throttled()
+	}
+	if failed := t.checkConditions(writes); failed != nil {
+		t.stats.Conflicts++
+		return nil, failed
+	}
+	t.stats.Commits++
+	for _, w := range writes {
+		switch {
+		case w.remove:
+			delete(t.items, w.key)
+		case w.item != nil:
+			t.items[w.key] = w.item
+		default:
+			continue
+		}
+		t.stats.Writes++
+	}
+	return struct{}{}, nil
+}
+
+func (t *Table) checkConditions(writes []tableWrite) *dynamoError {
+	reasons := make([]cancelReason, len(writes))
+	failed := false
+	for i, w := range writes {
+		reasons[i].Code = "None"
+		if !w.holds(t.items[w.key]) {
+			reasons[i].Code, failed = "ConditionalCheckFailed", true
+		}
+	}
+	if !failed {
+		return nil
+	}
+	codes := make([]string, len(reasons))
+	for i, r := range reasons {
+		codes[i] = r.Code
+	}
+	return &dynamoError{
+		Type: "TransactionCanceledException", Message: "Transaction cancelled, reasons [" + strings.Join(codes, ", ") + "]",
+		Reasons: reasons,
+	}
+}
+
+// tableWrite is one checked operation of a transaction. Without item and remove
+// it only checks its condition.
+type tableWrite struct {
+	key     tableKey
+	absent  bool // the item must not exist
+	version uint64
+	item    attributes
+	remove  bool
+}
+
+func (w tableWrite) holds(current attributes) bool {
+	if w.absent {
+		return current == nil
+	}
+	version, err := strconv.ParseUint(current["ver"].N, 10, 64)
+	return current != nil && err == nil && version == w.version
+}
