Add the platform adapters and their conformance test

A 4xx answer and a failure to connect prove that nothing was written and give ErrUnavailable; every other failed write gives ErrOutcomeUnknown. The SDK repeats no table request, because a repeated write whose first answer was lost fails its own condition and looks like a conflict.

--- /dev/null
+++ b/internal/platform/conformance_test.go
@@ -0,0 +1,242 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rattanscale/rattanscale/internal/platform"
+	"github.com/rattanscale/rattanscale/internal/platform/dynamo"
+	"github.com/rattanscale/rattanscale/internal/platform/hostlist"
+	"github.com/rattanscale/rattanscale/internal/platform/memory"
+	"github.com/rattanscale/rattanscale/internal/platform/s3"
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+const unreachable = "http://127.0.0.1:1"
+
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func newDynamo(t *testing.T, url string, timeout time.Duration) *dynamo.Table {
+	table := dynamo.New(dynamo.Settings{
+		URL: url, TableName: "t", Region: "local", AccessKey: "a", SecretKey: "s", Timeout: timeout,
+	})
+	t.Cleanup(table.Close)
+	return table
+}
+
+// generousTimeout keeps a busy machine from changing a verdict.
+const generousTimeout = 30 * time.Second
+
+// tableCase is one implementation of platform.Table and its way to lose answers.
+type tableCase struct {
+	platform.Table
+	loseAnswers func(count int)
+	goDown      func()
+}
+
+func tables(t *testing.T) map[string]tableCase {
+	m := memory.NewTable()
+	service := standin.NewTable(standin.TableSettings{PageItems: 3})
+	return map[string]tableCase{
+		"memory": {
+			m, func(n int) { m.Fail(memory.LosesAnswers, n) }, func() { m.Fail(memory.Down, 0) },
+		},
+		"dynamo": {
+			newDynamo(t, serve(t, service.Handler()), generousTimeout),
+			func(n int) { service.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer, Count: n}) },
+			func() { service.SetFault(standin.Fault{Kind: standin.FaultDown}) },
+		},
+	}
+}
+
+func put(sort string, expect uint64, value string) platform.Write {
+	return platform.Write{Key: platform.Key{Partition: "p", Sort: sort}, Expect: expect, Value: []byte(value)}
+}
+
+// Guards against adapters that differ in conditions, versions, order or paging.
+func TestTableConformance(t *testing.T) {
+	for name, table := range tables(t) {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			_, err := table.Get(ctx, platform.Key{Partition: "p", Sort: "none"})
+			require.ErrorIs(t, err, platform.ErrNotFound)
+			for i := range 10 {
+				require.NoError(t, table.Commit(ctx, put(fmt.Sprintf("k%02d", i), 0, "v")))
+			}
+			require.NoError(t, table.Commit(ctx, put("k00", 1, ""), platform.Write{
+				Kind: platform.Delete, Key: platform.Key{Partition: "p", Sort: "k09"}, Expect: 1,
+			}))
+			item, err := table.Get(ctx, platform.Key{Partition: "p", Sort: "k00"})
+			require.NoError(t, err)
+			assert.Equal(t, uint64(2), item.Version)
+			assert.Empty(t, item.Value)
+
+			items, err := table.Query(ctx, "p", "k01", 5)
+			require.NoError(t, err)
+			require.Len(t, items, 5)
+			assert.Equal(t, "k02", items[0].Key.Sort)
+			assert.Equal(t, "k06", items[4].Key.Sort)
+			items, err = table.Query(ctx, "p", "", 100)
+			require.NoError(t, err)
+			assert.Len(t, items, 9)
+		})
+	}
+}
+
+// Guards against a write that a failed condition lets through in part.
+func TestTableTransactionsAreAtomic(t *testing.T) {
+	for name, table := range tables(t) {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			require.NoError(t, table.Commit(ctx, put("head", 0, "1")))
+			err := table.Commit(ctx, put("entry", 0, "x"), put("head", 0, "2"))
+			require.ErrorIs(t, err, platform.ErrConflict)
+			check := platform.Write{Kind: platform.Check, Key: put("head", 0, "").Key, Expect: 2}
+			require.ErrorIs(t, table.Commit(ctx, put("entry", 0, "x"), check), platform.ErrConflict)
+			_, err = table.Get(ctx, put("entry", 0, "").Key)
+			require.ErrorIs(t, err, platform.ErrNotFound)
+			check.Expect = 1
+			require.NoError(t, table.Commit(ctx, put("entry", 0, "x"), check))
+			assert.ErrorIs(t, table.Commit(ctx, put("a", 0, ""), put("a", 0, "")), platform.ErrInvalidWrite)
+		})
+	}
+}
+
+// Guards against a lost answer that is reported as a conflict or as not written.
+func TestTableReportsLostAnswersAsUnknown(t *testing.T) {
+	for name, table := range tables(t) {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			table.loseAnswers(1)
+			require.ErrorIs(t, table.Commit(ctx, put("a", 0, "mine")), platform.ErrOutcomeUnknown)
+			item, err := table.Get(ctx, put("a", 0, "").Key)
+			require.NoError(t, err)
+			assert.Equal(t, "mine", string(item.Value))
+			require.NoError(t, table.Commit(ctx, put("a", 1, "next")))
+			table.goDown()
+			_, err = table.Get(ctx, put("a", 0, "").Key)
+			assert.ErrorIs(t, err, platform.ErrUnavailable)
+			_, err = table.Query(ctx, "p", "", 1)
+			assert.ErrorIs(t, err, platform.ErrUnavailable)
+		})
+	}
+}
+
+// Guards against an outcome that is called unknown although nothing was sent,
+// and the reverse.
+func TestDynamoTellsWhetherAWriteWasSent(t *testing.T) {
+	ctx := t.Context()
+	err := newDynamo(t, unreachable, generousTimeout).Commit(ctx, put("a", 0, ""))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+
+	throttled := standin.NewTable(standin.TableSettings{WritesPerSecond: 1e-9})
+	table := newDynamo(t, serve(t, throttled.Handler()), generousTimeout)
+	for i := range 100 { // the burst
+		require.NoError(t, table.Commit(ctx, put(fmt.Sprint("k", i), 0, "")))
+	}
+	assert.ErrorIs(t, table.Commit(ctx, put("a", 0, "")), platform.ErrUnavailable)
+
+	frozen := standin.NewTable(standin.TableSettings{})
+	frozen.SetFault(standin.Fault{Kind: standin.FaultFreeze})
+	ctx, giveUp := context.WithCancel(ctx)
+	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		giveUp()
+		frozen.Handler().ServeHTTP(w, r)
+	}))
+	err = newDynamo(t, url, generousTimeout).Commit(ctx, put("a", 0, ""))
+	assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+}
+
+// Guards against any difference between the in-memory table and the protocol
+// adapter, by the same random transactions on both.
+func TestTableImplementationsAgree(t *testing.T) {
+	url := serve(t, standin.NewTable(standin.TableSettings{PageItems: 2}).Handler())
+	remote := newDynamo(t, url, generousTimeout)
+	run := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		run++
+		partition := fmt.Sprint("run", run)
+		local := memory.NewTable()
+		write := rapid.Custom(func(rt *rapid.T) platform.Write {
+			return platform.Write{
+				Kind:   rapid.SampledFrom([]platform.WriteKind{platform.Put, platform.Delete, platform.Check}).Draw(rt, "kind"),
+				Key:    platform.Key{Partition: partition, Sort: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "sort")},
+				Expect: rapid.Uint64Range(0, 2).Draw(rt, "expect"),
+				Value:  rapid.SliceOfN(rapid.Byte(), 1, 3).Draw(rt, "value"),
+			}
+		})
+		for _, writes := range rapid.SliceOfN(rapid.SliceOfN(write, 1, 3), 1, 8).Draw(rt, "transactions") {
+			require.Equal(rt, kindOf(local.Commit(t.Context(), writes...)), kindOf(remote.Commit(t.Context(), writes...)))
+		}
+		want, _ := local.Query(t.Context(), partition, "", 10)
+		got, err := remote.Query(t.Context(), partition, "", 10)
+		require.NoError(rt, err)
+		require.Equal(rt, want, got)
+	})
+}
+
+func kindOf(err error) error {
+	for _, kind := range []error{platform.ErrConflict, platform.ErrInvalidWrite} {
+		if errors.Is(err, kind) {
+			return kind
+		}
+	}
+	return err
+}
+
+// Guards against object stores that change a body or hide that it is missing.
+func TestObjectStoreConformance(t *testing.T) {
+	service := standin.NewObjects()
+	newS3 := func(url string) *s3.Objects {
+		o := s3.New(s3.Settings{URL: url, Bucket: "b", Region: "local", AccessKey: "a", SecretKey: "s"})
+		t.Cleanup(o.Close)
+		return o
+	}
+	remote := newS3(serve(t, service.Handler()))
+	body := bytes.Repeat([]byte("rounds\n"), 100_000)
+	for _, store := range []platform.ObjectStore{memory.NewObjects(), remote} {
+		_, err := store.Get(t.Context(), "texts/1")
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.NoError(t, store.Put(t.Context(), "texts/1", body))
+		got, err := store.Get(t.Context(), "texts/1")
+		require.NoError(t, err)
+		require.Equal(t, body, got)
+	}
+	assert.ErrorIs(t, newS3(unreachable).Put(t.Context(), "x", nil), platform.ErrUnavailable)
+	service.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer})
+	assert.ErrorIs(t, remote.Put(t.Context(), "x", nil), platform.ErrOutcomeUnknown)
+	service.SetFault(standin.Fault{Kind: standin.FaultDown})
+	_, err := remote.Get(t.Context(), "texts/1")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Guards against an outage of the host list that looks like an empty list.
+func TestHostListConformance(t *testing.T) {
+	want := []platform.ListedHost{{Name: "h1", Address: "127.0.0.1:7001"}, {Name: "h2", Leaving: true}}
+	service := standin.NewHostList(0, nil)
+	remote := hostlist.New(serve(t, service.Handler()))
+	t.Cleanup(remote.Close)
+	service.Set(want)
+	for _, list := range []platform.HostList{memory.NewHosts(want...), remote} {
+		got, err := list.Hosts(context.Background())
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+	service.SetFault(standin.Fault{Kind: standin.FaultDown})
+	_, err := remote.Hosts(context.Background())
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
--- /dev/null
+++ b/internal/platform/dynamo/dynamo.go
@@ -0,0 +1,217 @@
+// Package dynamo implements platform.Table with the DynamoDB protocol. The table
+// has the string keys pk and sk, the number ver and the binary val.
+package dynamo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+const (
+	dialTimeout    = 300 * time.Millisecond
+	defaultTimeout = time.Second
+)
+
+// Settings configures a Table.
+type Settings struct {
+	URL       string
+	TableName string
+	Region    string
+	AccessKey string
+	SecretKey string
+	// Timeout bounds each request (default 1 s).
+	Timeout time.Duration
+}
+
+// Table implements platform.Table. It is safe for concurrent use. Close
+// releases its idle connections.
+type Table struct {
+	settings Settings
+	http     *http.Client
+	client   *dynamodb.Client
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// New returns a table. The SDK repeats no request: after a repeated write whose
+// first answer was lost, the condition fails and the write looks like a conflict.
+func New(settings Settings) *Table {
+	if settings.Timeout == 0 {
+		settings.Timeout = defaultTimeout
+	}
+	t := &Table{settings: settings, http: platform.NewHTTPClient(dialTimeout)}
+	t.client = dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(settings.URL),
+		Region:       settings.Region,
+		Credentials:  credentials.NewStaticCredentialsProvider(settings.AccessKey, settings.SecretKey, ""),
+		HTTPClient:   t.http,
+		Retryer:      aws.NopRetryer{},
+	})
+	return t
+}
+
+// Close releases the idle connections.
+func (t *Table) Close() { t.http.CloseIdleConnections() }
+
+func stringValue(s string) types.AttributeValue { return &types.AttributeValueMemberS{Value: s} }
+
+func versionValue(v uint64) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(v, 10)}
+}
+
+func keyValues(key platform.Key) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{"pk": stringValue(key.Partition), "sk": stringValue(key.Sort)}
+}
+
+// Get returns the item with a strongly consistent read.
+func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.settings.Timeout)
+	defer cancel()
+	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName: &t.settings.TableName, Key: keyValues(key), ConsistentRead: aws.Bool(true),
+	})
+	if err != nil {
+		return platform.Item{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if len(out.Item) == 0 {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return toItem(out.Item)
+}
+
+// Query returns the items in order, with strongly consistent reads. It reads
+// further pages until the limit or the end of the partition is reached.
+func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.settings.Timeout)
+	defer cancel()
+	var items []platform.Item
+	input := t.queryInput(partition, after)
+	for len(items) < limit {
+		input.Limit = aws.Int32(int32(min(limit-len(items), maxPage)))
+		out, err := t.client.Query(ctx, input)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		}
+		for _, values := range out.Items {
+			item, err := toItem(values)
+			if err != nil {
+				return nil, err
+			}
+			items = append(items, item)
+		}
+		if len(out.LastEvaluatedKey) == 0 {
+			break
+		}
+		input.ExclusiveStartKey = out.LastEvaluatedKey
+	}
+	return items, nil
+}
+
+const maxPage = 1000
+
+// queryInput leaves out an empty lower bound, which the protocol does not allow.
+func (t *Table) queryInput(partition, after string) *dynamodb.QueryInput {
+	condition := "pk = :p"
+	values := map[string]types.AttributeValue{":p": stringValue(partition)}
+	if after != "" {
+		condition += " AND sk > :after"
+		values[":after"] = stringValue(after)
+	}
+	return &dynamodb.QueryInput{
+		TableName: &t.settings.TableName, KeyConditionExpression: &condition,
+		ExpressionAttributeValues: values, ConsistentRead: aws.Bool(true),
+	}
+}
+
+func toItem(values map[string]types.AttributeValue) (platform.Item, error) {
+	pk, okPK := values["pk"].(*types.AttributeValueMemberS)
+	sk, okSK := values["sk"].(*types.AttributeValueMemberS)
+	ver, okVer := values["ver"].(*types.AttributeValueMemberN)
+	val, okVal := values["val"].(*types.AttributeValueMemberB)
+	if !okPK || !okSK || !okVer || !okVal {
+		return platform.Item{}, errors.New("table item lacks pk, sk, ver or val; remedy: let no other program write the table")
+	}
+	version, err := strconv.ParseUint(ver.Value, 10, 64)
+	if err != nil {
+		return platform.Item{}, fmt.Errorf("version of table item %s/%s: %w", pk.Value, sk.Value, err)
+	}
+	return platform.Item{
+		Key: platform.Key{Partition: pk.Value, Sort: sk.Value}, Version: version, Value: val.Value,
+	}, nil
+}
+
+// Commit sends one transaction.
+func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+	if err := platform.CheckWrites(writes); err != nil {
+		return err
+	}
+	input := &dynamodb.TransactWriteItemsInput{TransactItems: make([]types.TransactWriteItem, len(writes))}
+	for i, w := range writes {
+		input.TransactItems[i] = t.transactItem(w)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.settings.Timeout)
+	defer cancel()
+	var sent platform.Sent
+	_, err := t.client.TransactWriteItems(sent.Trace(ctx), input)
+	return commitError(&sent, err)
+}
+
+func (t *Table) transactItem(w platform.Write) types.TransactWriteItem {
+	condition := aws.String("ver = :v")
+	values := map[string]types.AttributeValue{":v": versionValue(w.Expect)}
+	if w.Expect == 0 {
+		condition, values = aws.String("attribute_not_exists(pk)"), nil
+	}
+	table, key := &t.settings.TableName, keyValues(w.Key)
+	switch w.Kind {
+	case platform.Delete:
+		return types.TransactWriteItem{Delete: &types.Delete{
+			TableName: table, Key: key, ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	case platform.Check:
+		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
+			TableName: table, Key: key, ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	default:
+		key["ver"] = versionValue(w.Expect + 1)
+		key["val"] = &types.AttributeValueMemberB{Value: append([]byte{}, w.Value...)}
+		return types.TransactWriteItem{Put: &types.Put{
+			TableName: table, Item: key, ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	}
+}
+
+// commitError maps the error of a transaction. The service's answer with a 4xx
+// status proves that nothing was written.
+func commitError(sent *platform.Sent, err error) error {
+	if err == nil {
+		return nil
+	}
+	var cancelled *types.TransactionCanceledException
+	if errors.As(err, &cancelled) {
+		for _, reason := range cancelled.CancellationReasons {
+			if aws.ToString(reason.Code) == "ConditionalCheckFailed" {
+				return fmt.Errorf("%w: %w", platform.ErrConflict, err)
+			}
+		}
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	var inProgress *types.TransactionInProgressException
+	var answer *awshttp.ResponseError
+	if errors.As(err, &answer) && answer.HTTPStatusCode()/100 == 4 && !errors.As(err, &inProgress) {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return sent.WriteError(err)
+}
--- /dev/null
+++ b/internal/platform/hostlist/hostlist.go
@@ -0,0 +1,66 @@
+// Package hostlist implements platform.HostList over HTTP: GET /hosts returns a JSON array.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+const (
+	dialTimeout  = 300 * time.Millisecond
+	callTimeout  = time.Second
+	maxListBytes = 8 << 20
+)
+
+// List implements platform.HostList. It is safe for concurrent use. Close
+// releases its idle connections.
+type List struct {
+	url  string
+	http *http.Client
+}
+
+var _ platform.HostList = (*List)(nil)
+
+// New returns the list served below the base URL.
+func New(baseURL string) *List {
+	return &List{url: strings.TrimSuffix(baseURL, "/") + "/hosts", http: platform.NewHTTPClient(dialTimeout)}
+}
+
+// Close releases the idle connections.
+func (l *List) Close() { l.http.CloseIdleConnections() }
+
+// Hosts returns the list, which may be out of date, or ErrUnavailable.
+func (l *List) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	hosts, err := l.fetch(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return hosts, nil
+}
+
+func (l *List) fetch(ctx context.Context) ([]platform.ListedHost, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := l.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("host list answered status %d", response.StatusCode)
+	}
+	var hosts []platform.ListedHost
+	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&hosts)
+	return hosts, err
+}
--- /dev/null
+++ b/internal/platform/s3/s3.go
@@ -0,0 +1,114 @@
+// Package s3 implements platform.ObjectStore with the S3 protocol in path style.
+package s3
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/aws/retry"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+const (
+	dialTimeout    = 300 * time.Millisecond
+	defaultTimeout = 5 * time.Second
+	maxAttempts    = 3
+	maxBackoff     = 300 * time.Millisecond
+	// maxObjectBytes bounds the bodies that Get reads into memory.
+	maxObjectBytes = 64 << 20
+)
+
+var errTooLarge = errors.New("object exceeds the size limit")
+
+// Settings configures Objects.
+type Settings struct {
+	URL       string
+	Bucket    string
+	Region    string
+	AccessKey string
+	SecretKey string
+	// Timeout bounds each call with its repetitions (default 5 s).
+	Timeout time.Duration
+}
+
+// Objects implements platform.ObjectStore. It is safe for concurrent use. Close
+// releases its idle connections.
+type Objects struct {
+	settings Settings
+	http     *http.Client
+	client   *s3.Client
+}
+
+var _ platform.ObjectStore = (*Objects)(nil)
+
+// New returns an object store. Requests are repeated, because objects are
+// immutable and storing one twice changes nothing.
+func New(settings Settings) *Objects {
+	if settings.Timeout == 0 {
+		settings.Timeout = defaultTimeout
+	}
+	o := &Objects{settings: settings, http: platform.NewHTTPClient(dialTimeout)}
+	o.client = s3.New(s3.Options{
+		BaseEndpoint: aws.String(settings.URL),
+		UsePathStyle: true,
+		Region:       settings.Region,
+		Credentials:  credentials.NewStaticCredentialsProvider(settings.AccessKey, settings.SecretKey, ""),
+		HTTPClient:   o.http,
+		Retryer: retry.NewStandard(func(r *retry.StandardOptions) {
+			r.MaxAttempts, r.MaxBackoff = maxAttempts, maxBackoff
+		}),
+		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
+		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
+	})
+	return o
+}
+
+// Close releases the idle connections.
+func (o *Objects) Close() { o.http.CloseIdleConnections() }
+
+// Put stores the body. After ErrOutcomeUnknown it may be stored; the caller can repeat the call.
+func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, o.settings.Timeout)
+	defer cancel()
+	var sent platform.Sent
+	_, err := o.client.PutObject(sent.Trace(ctx), &s3.PutObjectInput{
+		Bucket: &o.settings.Bucket, Key: &name, Body: bytes.NewReader(body),
+	})
+	if err != nil {
+		return sent.WriteError(err)
+	}
+	return nil
+}
+
+// Get returns the body, or ErrNotFound.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.settings.Timeout)
+	defer cancel()
+	out, err := o.client.GetObject(ctx, &s3.GetObjectInput{Bucket: &o.settings.Bucket, Key: &name})
+	var answer *awshttp.ResponseError
+	if errors.As(err, &answer) && answer.HTTPStatusCode() == http.StatusNotFound {
+		return nil, platform.ErrNotFound
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	defer func() { _ = out.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(out.Body, maxObjectBytes+1))
+	if err == nil && len(body) > maxObjectBytes {
+		err = errTooLarge
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return body, nil
+}
