Keep long requests off cold upstreams while a warm one may serve them

A cold upstream becomes warm by completed requests, so short ones warm it sooner and suffer fewer slow steps.

--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -29,6 +29,12 @@
 	// throughputWindow is the interval over which the rate of grants is measured.
 	throughputWindow = time.Second
 	throughputWeight = 0.2
+	// outputWeight averages the expected output over about 50 grants.
+	outputWeight = 0.02
+	// longOutput is the multiple of the mean expected output from which on a
+	// request avoids cold upstreams while a warm one may serve it. Cold upstreams
+	// become warm by completed requests, and every step on them is slow.
+	longOutput = 1.5
 )
 
 // Decide returns what must be done now: grants, refusals and cancellations.
@@ -116,8 +122,10 @@
 	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, s.lengths.Lengths(keyOf(r)))
 	candidates := make([]routing.Candidate, 0, len(open))
 	fitting := make([]*upstream, 0, len(open))
+	short := s.lengths.Lengths(keyOf(r)).Remaining(0, r.MaxTokens) <= longOutput*s.meanOutput
+	warm := slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.tracker.Awaiting() && s.mayServe(u, r) })
 	for _, u := range open {
-		if slices.Contains(r.Exclude, u.name) {
+		if !s.mayServe(u, r) || warm && !short && u.tracker.Awaiting() {
 			continue
 		}
 		load, fits := s.load(u, &add, stepShare)
@@ -152,6 +160,14 @@
 	return load, fits || u.running() == 0
 }
 
+// noteOutput keeps the mean expected output of the requests granted recently.
+func (s *State) noteOutput(tokens float64) {
+	if s.meanOutput == 0 {
+		s.meanOutput = tokens
+	}
+	s.meanOutput += outputWeight * (tokens - s.meanOutput)
+}
+
 // grant gives a permit and charges the upstream with it.
 func (s *State) grant(now time.Time, u *upstream, r *Request, alone bool) *permit {
 	p := &permit{
@@ -162,6 +178,7 @@
 		request: *r, granted: now, expected: s.cost(r),
 	}
 	s.nextID++
+	s.noteOutput(p.expected - float64(r.PromptTokens))
 	s.add(u, p)
 	u.notePrefix(r.PrefixHash)
 	u.profile.Add(p.load(), s.lengths.Lengths(keyOf(r)))
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -41,6 +41,8 @@
 	queue      *fairqueue.Queue[*Request]
 	throughput throughput
 	pressure   pressure
+	// meanOutput is the mean expected output of the requests granted recently.
+	meanOutput float64
 	suspects   []Request
 	isolation  isolation
 	lengths    *admission.Predictor
@@ -196,9 +198,12 @@
 	if s.out {
 		return false
 	}
-	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
-		return !u.leaving && !u.removed && !u.report.Leaving && !slices.Contains(r.Exclude, u.name)
-	})
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return s.mayServe(u, r) })
+}
+
+// mayServe reports whether an upstream takes new work and the request may run on it.
+func (s *State) mayServe(u *upstream, r *Request) bool {
+	return !u.leaving && !u.removed && !u.report.Leaving && !slices.Contains(r.Exclude, u.name)
 }
 
 // cost is the expected work of a request, in tokens.
