Count requests in progress in the predicted output lengths

Completed requests alone favour short outputs, because long ones complete later; the prediction now is a Kaplan-Meier estimate over completed and running requests.

--- a/internal/admission/lengths.go
+++ b/internal/admission/lengths.go
@@ -19,6 +19,8 @@
 
 	// decayWindow is the number of recent observations that carry most of the weight.
 	decayWindow = 256.0
+	// smallestWeight is the weight below which nothing is left of the observations.
+	smallestWeight = 1e-3
 	// rescaleAt bounds the growing increment, so that single precision suffices.
 	rescaleAt = 1e6
 
@@ -71,14 +73,17 @@
 // Histogram counts output lengths in log-spaced buckets. Old observations decay
 // with each new one, and a shift of the mean discounts them at once.
 type Histogram struct {
-	counts    [bucketCount]float32
-	total     float64
-	increment float64
-	seen      int
-	fast      float64
-	logSum    float64
-	logSquare float64
-	version   uint32
+	counts [bucketCount]float32
+	// running counts the requests in progress by the tokens produced so far.
+	running      [bucketCount]float32
+	runningTotal float64
+	total        float64
+	increment    float64
+	seen         int
+	fast         float64
+	logSum       float64
+	logSquare    float64
+	version      uint32
 }
 
 // Add records one completed output.
@@ -139,19 +144,53 @@
 	}
 }
 
-// mixInto adds the histogram to a prior that counts as priorWeight observations.
+// Running records a request in progress, which is known only to be longer than
+// what it has produced.
+func (h *Histogram) Running(produced int) {
+	b, _ := position(produced)
+	h.running[b]++
+	h.runningTotal++
+	h.version++
+}
+
+// ResetRunning forgets the requests in progress.
+func (h *Histogram) ResetRunning() {
+	if h.runningTotal > 0 {
+		h.running = [bucketCount]float32{}
+		h.runningTotal = 0
+		h.version++
+	}
+}
+
+// mixInto combines the histogram with a prior that counts as priorWeight observations.
+//
+// The histogram's part is the Kaplan-Meier estimate: at each bucket the share of
+// requests that ended there among those known to have reached it. Completed
+// requests alone would favour short outputs, because long ones complete later.
+// Beyond the longest completed output the prior's tail applies.
 func (h *Histogram) mixInto(out, prior *tails, priorWeight float64) {
-	w := h.Weight()
-	if w == 0 {
+	events, unit := 0.0, 0.0
+	if h.increment > 0 {
+		unit = 1 / h.increment
+		events = h.total * unit
+	}
+	weight := events + h.runningTotal
+	if weight == 0 {
 		*out = *prior
 		return
 	}
-	keep := float32(priorWeight / (w + priorWeight))
-	unit := float32(w / (w + priorWeight) / h.total)
-	sum := float32(0)
-	out[bucketCount] = keep * prior[bucketCount]
-	for b := bucketCount - 1; b >= 0; b-- {
-		sum += h.counts[b] * unit
-		out[b] = min(sum+keep*prior[b], 1)
+	share := weight / (weight + priorWeight)
+	survival, atRisk, left := 1.0, weight, events
+	for b := range bucketCount {
+		out[b] = float32(share*survival + (1-share)*float64(prior[b]))
+		ended, running := float64(h.counts[b])*unit, float64(h.running[b])
+		if left > smallestWeight {
+			survival *= 1 - min(ended/max(atRisk-running/2, ended, smallestWeight), 1)
+		} else if prior[b] > 0 {
+			survival *= float64(prior[b+1] / prior[b])
+		}
+		atRisk -= ended + running
+		left -= ended
 	}
+	out[bucketCount] = float32(share*survival + (1-share)*float64(prior[bucketCount]))
 }
--- a/internal/admission/predictor.go
+++ b/internal/admission/predictor.go
@@ -112,12 +112,7 @@
 // Observe records the length of a completed output.
 func (p *Predictor) Observe(key Key, length int) {
 	p.clock++
-	s := p.services[key.Service]
-	if s == nil {
-		s = &serviceLengths{}
-		p.services[key.Service] = s
-	}
-	s.histogram.Add(length)
+	p.service(key.Service).histogram.Add(length)
 	a := p.accounts[key]
 	if a == nil {
 		if len(p.accounts) >= maxAccounts {
@@ -130,6 +125,33 @@
 	a.histogram.Add(length)
 }
 
+// ResetRunning forgets the requests in progress.
+func (p *Predictor) ResetRunning() {
+	for _, s := range p.services {
+		s.histogram.ResetRunning()
+	}
+	for _, a := range p.accounts {
+		a.histogram.ResetRunning()
+	}
+}
+
+// Running records a request in progress and the tokens that it has produced.
+func (p *Predictor) Running(key Key, produced int) {
+	p.service(key.Service).histogram.Running(produced)
+	if a := p.accounts[key]; a != nil {
+		a.histogram.Running(produced)
+	}
+}
+
+func (p *Predictor) service(name string) *serviceLengths {
+	s := p.services[name]
+	if s == nil {
+		s = &serviceLengths{}
+		p.services[name] = s
+	}
+	return s
+}
+
 // evict drops the account histograms that were used least recently.
 func (p *Predictor) evict() {
 	keys := make([]Key, 0, len(p.accounts))
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -29,6 +29,8 @@
 	// throughputWindow is the interval over which the rate of grants is measured.
 	throughputWindow = time.Second
 	throughputWeight = 0.2
+	// runningInterval is the interval at which requests in progress are counted.
+	runningInterval = time.Second
 	// outputWeight averages the expected output over about 50 grants.
 	outputWeight = 0.02
 	// longOutput is the multiple of the mean expected output from which on a
@@ -64,6 +66,7 @@
 
 // grantWaiting grants waiting requests in fair order while some upstream has room.
 func (s *State) grantWaiting(now time.Time) {
+	s.noteRunning(now)
 	open := s.open(now)
 	passed := 0
 	s.queue.Scan(now, func(it *fairqueue.Item[*Request]) fairqueue.Verdict {
@@ -101,6 +104,23 @@
 	s.pressure.update(now, s.queue.Len() > 0)
 }
 
+// noteRunning lets the predicted lengths take account of the requests in progress.
+func (s *State) noteRunning(now time.Time) {
+	if now.Sub(s.runningNoted) < runningInterval {
+		return
+	}
+	s.runningNoted = now
+	s.lengths.ResetRunning()
+	for _, u := range s.upstreams {
+		for _, p := range u.permits {
+			if p.tokens > 0 {
+				s.lengths.Running(keyOf(&p.request), p.tokens)
+			}
+		}
+		u.stale = true
+	}
+}
+
 // open returns the upstreams that may receive a request, in the order of their names.
 func (s *State) open(now time.Time) []*upstream {
 	if s.queue.Len() == 0 {
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -42,11 +42,12 @@
 	throughput throughput
 	pressure   pressure
 	// meanOutput is the mean expected output of the requests granted recently.
-	meanOutput float64
-	suspects   []Request
-	isolation  isolation
-	lengths    *admission.Predictor
-	quarantine *quarantine.Table
+	meanOutput   float64
+	runningNoted time.Time
+	suspects     []Request
+	isolation    isolation
+	lengths      *admission.Predictor
+	quarantine   *quarantine.Table
 
 	pending []Command
 	notices []quarantine.Notice
