Skip upstreams and requests that cannot be chosen in a decision

A decision skips upstreams whose present load already exceeds the lowest by more than the affinity margin, and requests at least as large as one just rejected. Deadlines and unconfirmed cancellations have their own lists.

--- a/internal/fairqueue/heap.go
+++ b/internal/fairqueue/heap.go
@@ -74,3 +74,38 @@
 	*h = old[:n]
 	return f
 }
+
+// deadlineHeap orders requests by deadline.
+type deadlineHeap[T any] []*Item[T]
+
+func (h deadlineHeap[T]) Len() int { return len(h) }
+
+func (h deadlineHeap[T]) Less(i, j int) bool {
+	if !h[i].Deadline.Equal(h[j].Deadline) {
+		return h[i].Deadline.Before(h[j].Deadline)
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h deadlineHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiry, h[j].expiry = i, j
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap[T]) Push(x any) {
+	it := x.(*Item[T])
+	it.expiry = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap[T]) Pop() any {
+	old := *h
+	n := len(old) - 1
+	it := old[n]
+	old[n] = nil
+	it.expiry = -1
+	*h = old[:n]
+	return it
+}
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -36,6 +36,7 @@
 
 	sequence uint64
 	position int
+	expiry   int // position in the deadline heap, -1 without a deadline
 	flow     *flow[T]
 }
 
@@ -63,9 +64,9 @@
 	levels   [Priorities]level[T]
 	index    map[string]*Item[T]
 	accounts map[string]int
+	expiring deadlineHeap[T]
 	total    int
 	sequence uint64
-	urgent   [Priorities]bool
 }
 
 // New returns an empty queue that holds at most total requests.
@@ -115,6 +116,10 @@
 	l.cost += it.Cost
 	f.cost += it.Cost
 	heap.Push(&f.items, it)
+	it.expiry = -1
+	if !it.Deadline.IsZero() {
+		heap.Push(&q.expiring, it)
+	}
 	if f.position < 0 {
 		f.start = max(f.start, l.clock)
 		heap.Push(&l.active, f)
@@ -145,6 +150,9 @@
 func (q *Queue[T]) unlink(it *Item[T]) {
 	l, f := &q.levels[it.Priority], it.flow
 	heap.Remove(&f.items, it.position)
+	if it.expiry >= 0 {
+		heap.Remove(&q.expiring, it.expiry)
+	}
 	delete(q.index, it.ID)
 	if q.accounts[it.Account]--; q.accounts[it.Account] == 0 {
 		delete(q.accounts, it.Account)
@@ -185,10 +193,6 @@
 	Stop
 )
 
-// SetUrgent marks priorities that must be served first, because requests in them
-// would otherwise miss the time by which they are needed.
-func (q *Queue[T]) SetUrgent(urgent [Priorities]bool) { q.urgent = urgent }
-
 // Scan offers waiting requests in the order of service until visit returns Stop
 // or none is left. visit must not change the queue.
 func (q *Queue[T]) Scan(now time.Time, visit func(*Item[T]) Verdict) {
@@ -241,9 +245,6 @@
 			continue
 		}
 		rank := p + int(now.Sub(l.served)/AgeStep)
-		if q.urgent[p] {
-			rank += Priorities
-		}
 		// On a tie the lower priority is served: it has waited longer.
 		if best < 0 || rank >= bestRank {
 			best, bestRank = p, rank
@@ -272,17 +273,12 @@
 	l.drop(f)
 }
 
-// Expire removes and returns the requests whose deadline has passed, in the order in which they came.
+// Expire removes and returns the requests whose deadline has passed, the earliest first.
 func (q *Queue[T]) Expire(now time.Time) []Item[T] {
 	var out []Item[T]
-	for _, it := range q.index {
-		if !it.Deadline.IsZero() && now.After(it.Deadline) {
-			out = append(out, *it)
-		}
-	}
-	slices.SortFunc(out, func(a, b Item[T]) int { return cmp.Compare(a.sequence, b.sequence) })
-	for i := range out {
-		q.unlink(q.index[out[i].ID])
+	for len(q.expiring) > 0 && now.After(q.expiring[0].Deadline) {
+		out = append(out, *q.expiring[0])
+		q.unlink(q.expiring[0])
 	}
 	return out
 }
--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,164 @@
+package pool
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// filled returns a warm pool whose upstreams each run some requests that are half done.
+func filled(upstreams, running int) (*State, []Permit) {
+	limits := engineLimits
+	limits.MaxRequests, limits.MemoryTokens = 2*running, 4096*running
+	s := New(Config{Pool: testPool("engine", upstreams, limits)})
+	for _, u := range s.upstreams {
+		s.Report(t0.Add(time.Second), Report{Upstream: u.name, Incarnation: "i"})
+	}
+	now := t0.Add(2 * time.Second)
+	for i := range upstreams * running {
+		s.Acquire(now, request(i))
+	}
+	permits := grants(s.Decide(now))
+	digest := make([]Progress, 0, len(permits))
+	for i, p := range permits {
+		digest = append(digest, Progress{PermitID: p.ID, Tokens: 10 + i%200, StepTime: 20 * time.Millisecond})
+	}
+	s.Progress(now, digest)
+	return s, permits
+}
+
+// One decision: a request ends, the next one is queued and granted.
+func BenchmarkDecide(b *testing.B) {
+	for _, upstreams := range []int{8, 32, 128, 512} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			s, permits := filled(upstreams, 24)
+			now := t0.Add(3 * time.Second)
+			next := len(permits)
+			b.ReportAllocs()
+			for b.Loop() {
+				i := next % len(permits)
+				s.Release(now, permits[i].ID, Completed, 100+i%50)
+				s.Acquire(now, request(next))
+				next++
+				if g := grants(s.Decide(now)); len(g) == 1 {
+					permits[i] = g[0]
+				}
+				now = now.Add(time.Millisecond)
+			}
+		})
+	}
+}
+
+// A decision while nothing can be granted, with a long queue.
+func BenchmarkDecideFull(b *testing.B) {
+	for _, queued := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			s, permits := filled(32, 24)
+			for i := range queued {
+				r := request(len(permits) + i)
+				r.PromptTokens = 90000 // fits nowhere while others run
+				r.Account = fmt.Sprint("a", i%20)
+				s.Acquire(t0.Add(3*time.Second), r)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Decide(t0.Add(3 * time.Second))
+			}
+		})
+	}
+}
+
+// The digest of all daemons for one interval, for each running request.
+func BenchmarkProgress(b *testing.B) {
+	s, permits := filled(32, 24)
+	digest := make([]Progress, 0, len(permits))
+	for _, p := range permits {
+		digest = append(digest, Progress{PermitID: p.ID, Tokens: 50, StepTime: 20 * time.Millisecond})
+	}
+	b.ReportAllocs()
+	now := t0.Add(3 * time.Second)
+	for b.Loop() {
+		now = now.Add(500 * time.Millisecond)
+		s.Progress(now, digest)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(permits)), "ns/permit")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// reportBytes reports the memory that build allocates and keeps, for each entity.
+func reportBytes(b *testing.B, entities int, unit string, build func() any) {
+	b.Helper()
+	total := 0.0
+	for b.Loop() {
+		before := heap()
+		kept := build()
+		total += float64(heap()) - float64(before)
+		runtime.KeepAlive(kept)
+	}
+	b.ReportMetric(total/float64(b.N*entities), unit)
+}
+
+func BenchmarkBytesPerUpstream(b *testing.B) {
+	for _, n := range []int{32, 512} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			reportBytes(b, n, "bytes/upstream", func() any { return New(Config{Pool: testPool("engine", n, engineLimits)}) })
+		})
+	}
+}
+
+func BenchmarkBytesPerPermit(b *testing.B) {
+	for _, running := range []int{8, 32} {
+		b.Run(fmt.Sprintf("running=%d", running), func(b *testing.B) {
+			s, _ := filled(64, running)
+			base := heap()
+			runtime.KeepAlive(s)
+			reportBytes(b, 64*running, "bytes/permit", func() any {
+				s, _ := filled(64, running)
+				return s
+			})
+			_ = base
+		})
+	}
+}
+
+func BenchmarkBytesPerQueued(b *testing.B) {
+	for _, n := range []int{1000, 10000} {
+		b.Run(fmt.Sprintf("queued=%d", n), func(b *testing.B) {
+			reportBytes(b, n, "bytes/request", func() any {
+				s := New(Config{Pool: testPool("engine", 1, engineLimits)})
+				for i := range n {
+					r := request(i)
+					r.Deadline = t0.Add(time.Hour)
+					s.Acquire(t0, r)
+				}
+				return s
+			})
+		})
+	}
+}
+
+func BenchmarkBytesPerAccount(b *testing.B) {
+	for _, n := range []int{100, 1000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			reportBytes(b, n, "bytes/account", func() any {
+				s := New(Config{Pool: testPool("engine", 8, engineLimits)})
+				for i := range n {
+					r := request(i)
+					r.Account = fmt.Sprint("account", i)
+					s.Acquire(t0, r)
+					for _, p := range grants(s.Decide(t0)) {
+						s.Release(t0, p.ID, Completed, 100)
+					}
+				}
+				return s
+			})
+		})
+	}
+}
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -126,58 +126,87 @@
 	if s.queue.Len() == 0 {
 		return nil
 	}
-	var out []*upstream
+	out := s.openBuffer[:0]
 	for _, u := range s.upstreams {
 		if u != s.isolation.upstream && s.headroom(now, u) > 0 {
 			u.refresh(s.lengths)
 			out = append(out, u)
 		}
 	}
+	s.openBuffer = out
 	return out
 }
 
+// load is a share of an upstream's memory and of its target step.
+type load struct {
+	memory, step float64
+}
+
+// footprint is the size of a request for admission.
+type footprint struct {
+	prompt int
+	output float64
+}
+
+// covers reports whether a request of the other size needs at least as much.
+func (f footprint) covers(o footprint) bool {
+	return f.output > 0 && o.prompt >= f.prompt && o.output >= f.output
+}
+
 // pick returns the upstream for a request, or nil when it fits nowhere now.
 func (s *State) pick(open []*upstream, r *Request, stepShare float64) *upstream {
+	lengths := s.lengths.Lengths(keyOf(r))
+	size := footprint{r.PromptTokens, lengths.Remaining(0, r.MaxTokens)}
+	long := size.output > longOutput*s.meanOutput
+	warm := long && slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.tracker.Awaiting() && s.mayServe(u, r) })
 	var add admission.Profile
-	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, s.lengths.Lengths(keyOf(r)))
-	candidates := make([]routing.Candidate, 0, len(open))
-	fitting := make([]*upstream, 0, len(open))
-	short := s.lengths.Lengths(keyOf(r)).Remaining(0, r.MaxTokens) <= longOutput*s.meanOutput
-	warm := slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.tracker.Awaiting() && s.mayServe(u, r) })
+	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, lengths)
+	s.candidates, s.fitting = s.candidates[:0], s.fitting[:0]
+	lowest := math.Inf(1)
 	for _, u := range open {
-		if !s.mayServe(u, r) || warm && !short && u.tracker.Awaiting() {
+		if !s.mayServe(u, r) || warm && u.tracker.Awaiting() || u.rejected.covers(size) {
 			continue
 		}
-		load, fits := s.load(u, &add, stepShare)
-		if !fits {
+		share := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
+		if max(share, u.base.memory, u.base.step/stepShare) > lowest+routing.AffinityMargin {
 			continue
 		}
+		l := s.predict(u, &add)
+		share = max(share, l.memory, l.step/stepShare)
+		if max(l.memory, l.step/stepShare) > 1 && u.running() > 0 {
+			u.rejected = size
+			continue
+		}
+		lowest = min(lowest, share)
 		cached := u.prefixes != nil && u.prefixes.Holds(r.PrefixHash)
-		candidates = append(candidates, routing.Candidate{Name: u.name, Load: load, Cached: cached})
-		fitting = append(fitting, u)
+		s.candidates = append(s.candidates, routing.Candidate{Name: u.name, Load: share, Cached: cached})
+		s.fitting = append(s.fitting, u)
 	}
-	i := routing.Pick(candidates, s.routingKey(r))
+	i := routing.Pick(s.candidates, s.routingKey(r))
 	if i < 0 {
 		return nil
 	}
-	return fitting[i]
+	return s.fitting[i]
+}
+
+// predict returns an upstream's load with one more request. An empty upstream
+// takes any request, so the caller decides whether the request fits.
+func (s *State) predict(u *upstream, add *admission.Profile) load {
+	if u.base == (load{}) {
+		u.base = s.share(u, &admission.Profile{})
+	}
+	return s.share(u, add)
 }
 
-// load predicts an upstream's load with one more request, as a share of its
-// capacity, and whether the request fits. An empty upstream takes any request.
-func (s *State) load(u *upstream, add *admission.Profile, stepShare float64) (float64, bool) {
-	limits := &s.pool.Limits
-	load := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
-	fits := true
-	if limits.MemoryTokens > 0 {
-		share := u.profile.PeakWith(add, s.sigmas) / float64(limits.MemoryTokens)
-		load, fits = max(load, share), share <= 1
+func (s *State) share(u *upstream, add *admission.Profile) load {
+	var l load
+	if m := s.pool.Limits.MemoryTokens; m > 0 {
+		l.memory = u.profile.PeakWith(add, s.sigmas) / float64(m)
 	}
-	if fits && limits.TargetStep > 0 && s.needsReports() {
-		share := float64(u.model.Worst(&u.profile, add)) / (stepShare * float64(limits.TargetStep))
-		load, fits = max(load, share), share <= 1
+	if t := s.pool.Limits.TargetStep; t > 0 && s.needsReports() {
+		l.step = float64(u.model.Worst(&u.profile, add)) / float64(t)
 	}
-	return load, fits || u.running() == 0
+	return l
 }
 
 // noteOutput keeps the mean expected output of the requests granted recently.
@@ -202,6 +231,7 @@
 	s.add(u, p)
 	u.notePrefix(r.PrefixHash)
 	u.profile.Add(p.load(), s.lengths.Lengths(keyOf(r)))
+	u.changed()
 	s.pending = append(s.pending, Grant{Permit: p.Permit})
 	return p
 }
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/quarantine"
@@ -50,7 +51,11 @@
 
 // drop removes a permit and frees its slot.
 func (s *State) drop(now time.Time, p *permit) {
-	s.unlink(p)
+	if p.cancelling {
+		s.cancelling = slices.DeleteFunc(s.cancelling, func(c *permit) bool { return c == p })
+	} else {
+		s.unlink(p)
+	}
 	delete(s.permits, p.ID)
 	if s.requests[p.RequestID] == p {
 		delete(s.requests, p.RequestID)
@@ -161,10 +166,10 @@
 	if p.cancelling {
 		return
 	}
-	p.cancelling = true
-	p.cancelSince, p.cancelSent = now, now
+	p.cancelling, p.cancelSince = true, now
 	s.unlink(p)
-	s.pending = append(s.pending, CancelAtUpstream{PermitID: p.ID, RequestID: p.RequestID, Upstream: p.upstream.name})
+	s.cancelling = append(s.cancelling, p)
+	s.sendCancel(now, p)
 }
 
 // ConfirmCancelled frees the slot of a permit that was cancelled at its upstream.
@@ -182,16 +187,18 @@
 	for s.oldest != nil && !now.Before(s.oldest.Expires) {
 		s.cancel(now, s.oldest)
 	}
-	for _, u := range s.upstreams {
-		for _, p := range u.permits {
-			if p.cancelling && now.Sub(p.cancelSent) >= cancelRepeat {
-				p.cancelSent = now
-				s.pending = append(s.pending, CancelAtUpstream{PermitID: p.ID, RequestID: p.RequestID, Upstream: u.name})
-			}
+	for _, p := range s.cancelling {
+		if now.Sub(p.cancelSent) >= cancelRepeat {
+			s.sendCancel(now, p)
 		}
 	}
 }
 
+func (s *State) sendCancel(now time.Time, p *permit) {
+	p.cancelSent = now
+	s.pending = append(s.pending, CancelAtUpstream{PermitID: p.ID, RequestID: p.RequestID, Upstream: p.upstream.name})
+}
+
 // Report applies an upstream's load report.
 func (s *State) Report(now time.Time, r Report) {
 	u := s.upstream(r.Upstream)
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -35,8 +35,10 @@
 	requests  map[string]*permit
 	oldest    *permit
 	newest    *permit
-	nextID    uint64
-	sigmas    float64
+	// cancelling holds the permits whose cancellation is not confirmed.
+	cancelling []*permit
+	nextID     uint64
+	sigmas     float64
 
 	queue      *fairqueue.Queue[*Request]
 	throughput throughput
@@ -49,6 +51,11 @@
 	lengths      *admission.Predictor
 	quarantine   *quarantine.Table
 
+	// openBuffer, candidates and fitting are reused by decisions.
+	openBuffer []*upstream
+	candidates []routing.Candidate
+	fitting    []*upstream
+
 	pending []Command
 	notices []quarantine.Notice
 	unknown []uint64
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -63,7 +63,12 @@
 	alone       int // permits that must have the upstream to themselves
 	profile     admission.Profile
 	stale       bool
-	prefixes    *routing.Prefixes
+	// base is the load of the present batch as a share of memory and of the target
+	// step; it bounds from below the load with one more request.
+	base load
+	// rejected describes a request that did not fit since the last change.
+	rejected footprint
+	prefixes *routing.Prefixes
 
 	report      Report
 	reportTaken time.Time
@@ -127,6 +132,12 @@
 	for _, p := range u.permits {
 		u.profile.Add(p.load(), lengths.Lengths(keyOf(&p.request)))
 	}
+	u.changed()
+}
+
+// changed forgets what was derived from the previous profile.
+func (u *upstream) changed() {
+	u.base, u.rejected = load{}, footprint{}
 }
 
 // applyReport compares a load report with the known running set. Reports may
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// affinityMargin bounds the additional load, as a share of an upstream's
+	// AffinityMargin bounds the additional load, as a share of an upstream's
 	// capacity, that is accepted for the sake of a cached prefix.
-	affinityMargin = 0.05
+	AffinityMargin = 0.05
 	// equalLoad is the difference below which two upstreams count as equally loaded.
 	equalLoad = 0.02
 )
@@ -41,7 +41,7 @@
 	}
 	best := -1
 	for i, c := range candidates {
-		if c.Cached && c.Load <= lowest+affinityMargin && (best < 0 || less(candidates, i, best, key)) {
+		if c.Cached && c.Load <= lowest+AffinityMargin && (best < 0 || less(candidates, i, best, key)) {
 			best = i
 		}
 	}
