--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -11,11 +11,9 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/upstream"
@@ -81,7 +79,7 @@
 	Stream bool `json:"stream"`
 }
 
-// Generate starts a generation. ErrNotSent and *RefusedError prove that it did
+// Generate starts a generation; the context bounds the whole stream. ErrNotSent and *RefusedError prove that it did
 // not run; after ErrLost it may have run.
 func (c *Client) Generate(
 	ctx context.Context, address string, request upstream.GenerateRequest,
@@ -200,11 +198,8 @@
 		}
 		payload = bytes.NewReader(data)
 	}
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := http.NewRequestWithContext(ctx, method, upstream.URL(address, path), payload)
+	var sent upstream.Sent
+	request, err := http.NewRequestWithContext(sent.Trace(ctx), method, upstream.URL(address, path), payload)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
 	}
@@ -216,22 +211,14 @@
 	}
 	response, err := c.settings.HTTP.Do(request)
 	if err != nil {
-		return nil, classify(ctx, err, connected.Load())
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, sent.Error(err)
 	}
 	return checkStatus(response)
 }
 
-// classify maps a transport error: without a connection nothing was sent.
-func classify(ctx context.Context, err error, connected bool) error {
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	if connected {
-		return fmt.Errorf("%w: %w", upstream.ErrLost, err)
-	}
-	return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
-}
-
 // checkStatus closes the body unless the status is 2xx.
 func checkStatus(response *http.Response) (*http.Response, error) {
 	if response.StatusCode/100 == 2 {
--- a/internal/upstream/engine/engine_test.go
+++ b/internal/upstream/engine/engine_test.go
@@ -124,3 +124,62 @@
 	assert.ErrorIs(t, err, upstream.ErrLost)
 	assert.Equal(t, 2, r.engine.Stats().Losses)
 }
+
+// Guards against an old owner whose orders take effect, and against orders
+// without the engine's key.
+func TestOrdersCarryFencingTokenAndCredential(t *testing.T) {
+	for _, ignores := range []bool{false, true} {
+		credentials := map[string]string{}
+		r := newRig(t, func(s *standin.EngineSettings) {
+			s.OrderKey, s.IgnoreFencing = "secret", ignores
+		}, engine.Settings{Credentials: credentials})
+		order := upstream.Order{Kind: upstream.OrderRole, Role: "decode", Fencing: 7}
+		var refused *upstream.RefusedError
+		require.ErrorAs(t, r.client.Order(t.Context(), r.address, order), &refused)
+		assert.Equal(t, 401, refused.Status)
+		credentials[r.address] = "secret"
+		require.NoError(t, r.client.Order(t.Context(), r.address, order))
+		order.Fencing, order.Role = 6, "prefill"
+		err := r.client.Order(t.Context(), r.address, order)
+		report, loadErr := r.client.Load(t.Context(), r.address)
+		require.NoError(t, loadErr)
+		if ignores {
+			require.NoError(t, err)
+			assert.Equal(t, "prefill", report.Role)
+			continue
+		}
+		require.ErrorIs(t, err, upstream.ErrStaleOrder)
+		assert.Equal(t, "decode", report.Role)
+	}
+}
+
+// Guards against work that goes on after a cancel, and against connections that
+// break without the engine losing the generation.
+func TestCancelAndReset(t *testing.T) {
+	r := newRig(t, nil, engine.Settings{})
+	s := r.generate(t, "r1", "tokens=100000")
+	token := read(t, s, 0, 2)
+	r.engine.SetFault(standin.Fault{Kind: standin.FaultReset})
+	var err error
+	next := 2
+	for err == nil {
+		if _, err = s.Next(); err == nil {
+			next++
+		}
+	}
+	require.ErrorIs(t, err, upstream.ErrLost)
+	resumed, err := r.client.Resume(t.Context(), r.address, "r1", token.Generation, next)
+	require.NoError(t, err)
+	read(t, resumed, next, 3)
+	require.NoError(t, r.client.Cancel(t.Context(), r.address, "r1"))
+	require.NoError(t, r.client.Cancel(t.Context(), r.address, "r1"))
+	assert.Equal(t, 1, r.engine.Stats().Cancelled)
+	assert.Zero(t, r.engine.Stats().Running)
+	_, err = r.client.Resume(t.Context(), r.address, "r1", token.Generation, next)
+	assert.ErrorIs(t, err, upstream.ErrUnknownGeneration)
+
+	events, err := r.client.CacheEvents(t.Context(), r.address, 0)
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+	assert.Equal(t, upstream.PrefixHash("tokens=100000"), events[0].Prefix)
+}
--- /dev/null
+++ b/internal/upstream/engine/sse_test.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+const (
+	first  = `data: {"id":"g:0","choices":[{"text":"a"}]}` + "\n\n"
+	second = `data: {"id":"g:1","choices":[{"text":"b","finish_reason":"stop"}]}` + "\n\n"
+	done   = "data: [DONE]\n\n"
+)
+
+func texts(input, generation string, offset int) (out []string, err error) {
+	p := newParser(strings.NewReader(input), generation, offset)
+	for {
+		t, err := p.token()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, t.Text)
+	}
+}
+
+// Guards against a stream with repeated, missing or foreign tokens that is taken for whole.
+func TestParserAcceptsOnlyTheNextToken(t *testing.T) {
+	got, err := texts(": note\r\n\r\n"+first+second+done, "", 0)
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, []string{"a", "b", ""}, got)
+	for name, input := range map[string]string{
+		"duplicate":            first + first,
+		"missing":              first + strings.Replace(second, "g:1", "g:2", 1),
+		"another generation":   first + strings.Replace(second, "g:1", "h:1", 1),
+		"no identifier":        first + `data: {"choices":[{"text":"b"}]}` + "\n\n",
+		"no choice":            first + `data: {"id":"g:1"}` + "\n\n",
+		"not JSON":             first + "data: {\n\n",
+		"end too early":        first + done,
+		"event too large":      first + "data: " + strings.Repeat("x", maxEventBytes) + "\n\n",
+		"large event in lines": first + strings.Repeat("data: "+strings.Repeat("x", 1024)+"\n", 300) + "\n",
+	} {
+		got, err := texts(input, "g", 0)
+		assert.ErrorIs(t, err, upstream.ErrLost, name)
+		assert.Equal(t, []string{"a"}, got, name)
+	}
+	_, err = texts(first, "g", 1)
+	assert.ErrorIs(t, err, ErrProtocol)
+}
+
+// Guards against a malformed stream that makes the parser panic, end without an
+// error or yield a token out of order.
+func FuzzParser(f *testing.F) {
+	f.Add([]byte(first+second+done), "", 0)
+	f.Add([]byte(first+first), "g", 0)
+	f.Add([]byte("data: {\"id\":\"g:-1\",\"choices\":[{}]}\r\ndata:x\n\n: c\n\n"), "g", 7)
+	f.Fuzz(func(t *testing.T, input []byte, generation string, offset int) {
+		p := newParser(strings.NewReader(string(input)), generation, offset)
+		next, ended := offset, false
+		for {
+			token, err := p.token()
+			if errors.Is(err, io.EOF) && ended {
+				return
+			}
+			if err != nil {
+				require.ErrorIs(t, err, upstream.ErrLost)
+				require.False(t, ended)
+				return
+			}
+			require.False(t, ended)
+			require.Equal(t, next, token.Offset)
+			if generation != "" {
+				require.Equal(t, generation, token.Generation)
+			}
+			generation = token.Generation
+			next++
+			ended = token.Done
+		}
+	})
+}
+
+// pipeTransport answers with the read side of a pipe that breaks with the request's context.
+type pipeTransport struct{ body *io.PipeReader }
+
+func (p pipeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	context.AfterFunc(r.Context(), func() { _ = p.body.CloseWithError(r.Context().Err()) })
+	return &http.Response{StatusCode: http.StatusOK, Body: p.body, Request: r}, nil
+}
+
+// Guards against a silent engine that stalls a stream for ever, and against a
+// slow reader that is taken for a silent engine.
+func TestSilenceBeyondTheTokenTimeoutLosesTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, writer := io.Pipe()
+		c := New(Settings{TokenTimeout: 5 * time.Second, HTTP: &http.Client{Transport: pipeTransport{reader}}})
+		s, err := c.Generate(t.Context(), "192.0.2.1:1", upstream.GenerateRequest{RequestID: "r"})
+		require.NoError(t, err)
+		defer func() { _ = s.Close() }()
+		time.Sleep(time.Minute) // the reader is busy with something else
+		go func() { _, _ = io.WriteString(writer, first) }()
+		_, err = s.Next()
+		require.NoError(t, err)
+		begin := time.Now()
+		_, err = s.Next()
+		assert.ErrorIs(t, err, upstream.ErrLost)
+		assert.ErrorIs(t, err, errSilent)
+		assert.Equal(t, 5*time.Second, time.Since(begin))
+		_, err = s.Next()
+		assert.ErrorIs(t, err, upstream.ErrLost)
+	})
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -1,9 +1,13 @@
 package upstream
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,3 +38,25 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+// Sent tells whether any part of one request may have left this process. It is
+// for requests that net/http repeats only if it wrote nothing: a POST without an
+// Idempotency-Key, or on a connection of its own. It is safe for concurrent use.
+type Sent struct{ connected atomic.Bool }
+
+// Trace returns a context whose HTTP request is watched. A repetition starts
+// without a connection again.
+func (s *Sent) Trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { s.connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { s.connected.Store(true) },
+	})
+}
+
+// Error wraps the transport's error in ErrNotSent if no connection was made, else in ErrLost.
+func (s *Sent) Error(err error) error {
+	if s.connected.Load() {
+		return fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotSent, err)
+}
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -8,9 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/upstream"
@@ -69,20 +67,14 @@
 func (c *Client) Call(
 	ctx context.Context, address string, request upstream.PlainRequest,
 ) (upstream.PlainResponse, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	r, err := newCall(ctx, address, request)
+	var sent upstream.Sent
+	r, err := newCall(sent.Trace(ctx), address, request)
 	if err != nil {
 		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
 	}
 	response, err := c.clientFor(request).Do(r)
-	if err != nil && !connected.Load() {
-		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
-	}
 	if err != nil {
-		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrLost, err)
+		return upstream.PlainResponse{}, sent.Error(err)
 	}
 	return readAnswer(response)
 }
