--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -25,9 +24,6 @@
 	"github.com/rattanscale/rattanscale/internal/upstream/plain"
 )
 
-// hostListTimeout bounds a read of the platform's host list.
-const hostListTimeout = 2 * time.Second
-
 // newInjector provides the parts that other parts share. Everything is built on
 // first use; nothing is started.
 func newInjector(s *settings.Settings, log logr.Logger) do.Injector {
@@ -53,27 +49,30 @@
 	if p.Table == "memory" {
 		return memory.NewTable(), nil
 	}
-	return dynamo.New(dynamo.Settings{URL: p.TableURL, Table: p.TableName, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey}), nil
+	return dynamo.New(dynamo.Settings{URL: p.TableURL, TableName: p.TableName, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey}), nil
 }
 
-// provideObjects returns nil when no object store is set; large service texts are refused then.
-func provideObjects(i do.Injector) (platform.ObjectStore, error) {
+// objects holds the object store, or nil when none is set; large service texts
+// are refused then.
+type objects struct{ store platform.ObjectStore }
+
+func provideObjects(i do.Injector) (*objects, error) {
 	p := do.MustInvoke[*settings.Settings](i).Platform
 	switch {
 	case p.Table == "memory":
-		return memory.NewObjectStore(), nil
+		return &objects{memory.NewObjects()}, nil
 	case p.ObjectsURL == "":
-		return noObjects{}, nil
+		return &objects{}, nil
 	}
-	return s3.New(s3.Settings{URL: p.ObjectsURL, Bucket: p.Bucket, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey}), nil
+	return &objects{s3.New(s3.Settings{URL: p.ObjectsURL, Bucket: p.Bucket, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey})}, nil
 }
 
 func provideHostList(i do.Injector) (platform.HostList, error) {
 	p := do.MustInvoke[*settings.Settings](i).Platform
 	if p.HostListURL == "" {
-		return memory.NewHostList(), nil
+		return memory.NewHosts(), nil
 	}
-	return hostlist.New(p.HostListURL, &http.Client{Timeout: hostListTimeout}), nil
+	return hostlist.New(p.HostListURL), nil
 }
 
 func provideTLS(i do.Injector) (*tlsconf.Source, error) {
@@ -101,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return changelog.NewLog(table, do.MustInvoke[platform.ObjectStore](i), do.MustInvoke[*changelog.Follower](i)), nil
+	return changelog.NewLog(table, do.MustInvoke[*objects](i).store, do.MustInvoke[*changelog.Follower](i)), nil
 }
 
 func providePeerOptions(i do.Injector) (peer.Options, error) {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -149,15 +149,12 @@
 			h, err := holder.Acquire(t.Context(), "p", request(id))
 			require.NoError(t, err)
 			w.engine.running.Add(1)
+			h.Token()
+			time.Sleep(time.Second)
 			held = append(held, h)
 		}
 		w.move("b", 2)
-		for range 40 { // 20 s, twice the permit term
-			for _, h := range held {
-				h.Token()
-			}
-			time.Sleep(500 * time.Millisecond)
-		}
+		time.Sleep(2 * Term)
 		require.Zero(t, w.engine.cancelled.Load(), "a running request was cancelled")
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
