--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -58,6 +58,8 @@
 	addr   string // of a stand-in
 	output lockedBuffer
 	exited chan struct{}
+	// stopped is set when the test itself ended the process.
+	stopped bool
 }
 
 type lockedBuffer struct {
@@ -122,6 +124,7 @@
 }
 
 func (p *process) kill() {
+	p.stopped = true
 	p.signal(syscall.SIGKILL)
 	<-p.exited
 }
@@ -212,7 +215,7 @@
 	return h
 }
 
-func (h *host) start() { h.process = start(h.t, h.name, "rattanscaled", "-v", "1", "-config", h.settings) }
+func (h *host) start() { h.process = start(h.t, h.name, "rattanscaled", "-config", h.settings) }
 
 // listHosts writes the platform's host list.
 func (c *cluster) listHosts() {
@@ -309,6 +312,7 @@
 	c.t.Helper()
 	deadline := time.Now().Add(waitLimit)
 	for !ok() {
+		c.requireRunning()
 		if time.Now().After(deadline) {
 			c.t.Fatalf("did not happen within %v: %s", waitLimit, what)
 		}
@@ -316,6 +320,21 @@
 	}
 }
 
+// requireRunning fails the test when a daemon ended by itself.
+func (c *cluster) requireRunning() {
+	c.t.Helper()
+	for _, h := range c.hosts {
+		if h.cmd == nil || h.stopped {
+			continue
+		}
+		select {
+		case <-h.exited:
+			c.t.Fatalf("host %s ended", h.name)
+		default:
+		}
+	}
+}
+
 // client returns a caller that knows the given hosts.
 func (c *cluster) client(hosts ...*host) *callerclient.Client {
 	client := &callerclient.Client{Key: accountKey, HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http"}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,6 +17,7 @@
 
 // registerMethods sets the handlers of the methods that this package serves.
 func (d *Daemon) registerMethods() {
+	d.runner.Register(d.server)
 	peer.Register(d.server, permit.MethodAcquire, d.owner.Acquire)
 	peer.Register(d.server, permit.MethodProgress, d.owner.Progress)
 	peer.Register(d.server, permit.MethodStatus, func(context.Context, struct{}) (permit.StatusResult, error) {
--- a/internal/daemon/statuses.go
+++ b/internal/daemon/statuses.go
@@ -30,7 +30,7 @@
 }
 
 type statusRow struct {
-	status permit.Status
+	status permit.PoolStatus
 	at     time.Time
 }
 
@@ -39,27 +39,27 @@
 }
 
 // Status returns the latest state of the pool, if it is recent.
-func (s *statuses) Status(poolName string) (permit.Status, bool) {
+func (s *statuses) Status(poolName string) (permit.PoolStatus, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row, ok := s.rows[poolName]
 	if !ok || time.Since(row.at) > statusValidity {
-		return permit.Status{}, false
+		return permit.PoolStatus{}, false
 	}
 	return row.status, true
 }
 
 // All returns the recent states, sorted by pool.
-func (s *statuses) All() []permit.Status {
+func (s *statuses) All() []permit.PoolStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []permit.Status
+	var out []permit.PoolStatus
 	for _, row := range s.rows {
 		if time.Since(row.at) <= statusValidity {
 			out = append(out, row.status)
 		}
 	}
-	slices.SortFunc(out, func(a, b permit.Status) int { return strings.Compare(a.Pool, b.Pool) })
+	slices.SortFunc(out, func(a, b permit.PoolStatus) int { return strings.Compare(a.Pool, b.Pool) })
 	return out
 }
 
@@ -92,7 +92,7 @@
 	calls.Wait()
 }
 
-func (s *statuses) store(pools []permit.Status) {
+func (s *statuses) store(pools []permit.PoolStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -90,11 +90,11 @@
 
 // Observed is what the answering host sees now.
 type Observed struct {
-	Host  string          `json:"host"`
-	Epoch uint64          `json:"epoch"`
-	Hosts []HostRow       `json:"hosts"`
-	Pools []permit.Status `json:"pools"`
-	Store string          `json:"store" doc:"state of this host's contact with the table service"`
+	Host  string              `json:"host"`
+	Epoch uint64              `json:"epoch"`
+	Hosts []HostRow           `json:"hosts"`
+	Pools []permit.PoolStatus `json:"pools"`
+	Store string              `json:"store" doc:"state of this host's contact with the table service"`
 }
 
 // TimelineQuery selects events.
--- a/internal/permit/messages.go
+++ b/internal/permit/messages.go
@@ -99,8 +99,8 @@
 	Models      []string      `json:"models,omitempty"`
 }
 
-// Status is the owner's view of a pool.
-type Status struct {
+// PoolStatus is the owner's view of a pool.
+type PoolStatus struct {
 	Pool      string           `json:"pool"`
 	Owner     string           `json:"owner"`
 	Queued    int              `json:"queued"`
@@ -108,7 +108,7 @@
 }
 
 // Available reports whether any upstream of the pool can take work.
-func (s Status) Available() bool {
+func (s PoolStatus) Available() bool {
 	for _, u := range s.Upstreams {
 		if u.Reachable && !u.Leaving {
 			return true
@@ -118,7 +118,7 @@
 }
 
 // Free returns the number of requests that the pool could start now.
-func (s Status) Free() int {
+func (s PoolStatus) Free() int {
 	free := 0
 	for _, u := range s.Upstreams {
 		if u.Reachable && !u.Leaving {
@@ -130,7 +130,7 @@
 
 // StatusResult lists the pools that the answering daemon owns.
 type StatusResult struct {
-	Pools []Status `json:"pools"`
+	Pools []PoolStatus `json:"pools"`
 }
 
 // SuspectParams tells all daemons about requests suspected of crashing upstreams.
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -349,11 +349,11 @@
 	}
 }
 
-func (w *owned) status() Status {
+func (w *owned) status() PoolStatus {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	snapshot := w.state.Snapshot(w.owner.now())
-	status := Status{Pool: w.key.pool, Owner: w.owner.members.Self()}
+	status := PoolStatus{Pool: w.key.pool, Owner: w.owner.members.Self()}
 	for _, n := range snapshot.Queued {
 		status.Queued += n
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,7 +32,7 @@
 // Pools is the daemon's knowledge of the pools' state. It may be out of date; the
 // owner of a pool has the last word. Implementations are safe for concurrent use.
 type Pools interface {
-	Status(poolName string) (permit.Status, bool)
+	Status(poolName string) (permit.PoolStatus, bool)
 }
 
 // Events records the time line. Implementations are safe for concurrent use.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -71,7 +71,7 @@
 
 type noStatus struct{}
 
-func (noStatus) Status(string) (permit.Status, bool) { return permit.Status{}, false }
+func (noStatus) Status(string) (permit.PoolStatus, bool) { return permit.PoolStatus{}, false }
 
 // fixture is one relay before stand-in engines.
 type fixture struct {
