Give an idle engine's load report the age of its lag

The time of the report was that of the last change, so that the report of an idle engine looked stale. A lost answer now concerns orders and cancels only.

--- a/internal/standin/commands.go
+++ b/internal/standin/commands.go
@@ -19,7 +19,7 @@
 		setFlags: func(f *flag.FlagSet) {
 			f.StringVar(&models, "models", "", "models loaded at start, separated by commas; empty accepts every model")
 			engineTimeFlags(f, &s)
-			f.Float64Var(&s.ColdFactor, "cold-factor", s.ColdFactor, "multiplies the step time in the cold state")
+			f.Float64Var(&s.ColdFactor, "cold-factor", s.ColdFactor, "multiplies the step time in the cold state; 0: as when warm")
 			f.IntVar(&s.MemoryTokens, "memory-tokens", s.MemoryTokens, "memory for prompts and outputs, in tokens")
 			f.IntVar(&s.ColdRequests, "cold-requests", s.ColdRequests, "requests that the cold engine can bear; 0: never cold")
 			f.IntVar(&s.WarmAfter, "warm-after", s.WarmAfter, "completed requests that end the cold state")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"net/http"
 	"regexp"
 	"slices"
 	"strconv"
@@ -154,6 +155,10 @@
 		cache: prefixCache{size: settings.CachePrefixes},
 	}
 	e.faults = newFaultPlan(e.applyFault)
+	// A stream has no single answer to lose; reset breaks streams.
+	e.faults.loses = func(r *http.Request) bool {
+		return r.URL.Path == "/v1/orders" || r.URL.Path == "/v1/cancel"
+	}
 	e.restart()
 	e.stopped.Add(1)
 	go e.run()
--- a/internal/standin/enginestep.go
+++ b/internal/standin/enginestep.go
@@ -178,12 +178,18 @@
 	e.history = slices.Delete(e.history, 0, keep)
 }
 
-// report returns the state as it was one lag ago.
+// report returns the state as it was one lag ago. Without changes since then
+// the report is still no older than the lag.
 func (e *Engine) report() upstream.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.trimHistory(time.Now())
-	return e.history[0]
+	now := time.Now()
+	e.trimHistory(now)
+	r := e.history[0]
+	if visible := now.Add(-e.settings.ReportLag); r.At.Before(visible) {
+		r.At = visible
+	}
+	return r
 }
 
 // loadModel makes the model available after the load time, unless the engine
