--- a/internal/membership/runner/runner_test.go
+++ b/internal/membership/runner/runner_test.go
@@ -164,7 +164,7 @@
 
 func newCell(t *testing.T, hosts int) *cell {
 	c := &cell{
-		t: t, store: &store{items: map[platform.Key]platform.Item{}, down: map[string]bool{}, reads: map[string]int{}},
+		t: t, store: newStore(),
 		network: &network{nodes: map[string]*host{}, cut: map[[2]string]bool{}},
 	}
 	for i := range hosts {
--- /dev/null
+++ b/internal/membership/runner/wire_test.go
@@ -0,0 +1,135 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/changelog"
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/peer"
+	"github.com/rattanscale/rattanscale/internal/platform"
+)
+
+// countingListener counts the bytes of all connections that it accepts.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func newStore() *store {
+	return &store{items: map[platform.Key]platform.Item{}, down: map[string]bool{}, reads: map[string]int{}}
+}
+
+// startOverTCP starts a runner with real connections; the cleanup stops it.
+func startOverTCP(t testing.TB, s *store, name string, bytes *atomic.Int64) *Runner {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server, client := peer.New(peer.Options{Address: listener.Addr().String(), Key: "a shared key of the tests"})
+	table := storeClient{s, name}
+	r := New(Config{
+		Cell: "cell", Self: membership.Member{Identity: membership.Identity{Name: name}, PeerAddress: listener.Addr().String()},
+		Table: table, Log: changelog.NewLog(table, nil, changelog.NewFollower(parse)), Peers: client,
+	})
+	r.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- server.Serve(countingListener{listener, bytes}) }()
+	go func() { done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+		require.NoError(t, client.Close())
+		require.NoError(t, server.Close())
+		require.NoError(t, <-done)
+	})
+	return r
+}
+
+// Guards against daemons that work over the test network only.
+func TestCellOverTCP(t *testing.T) {
+	s, bytes := newStore(), &atomic.Int64{}
+	var runners []*Runner
+	for i := range 3 {
+		runners = append(runners, startOverTCP(t, s, fmt.Sprint("h", i), bytes))
+	}
+	change := entity.Change{ID: "c1", Kind: entity.ChangeApply, Operator: "jana", Text: "praha-1"}
+	require.Eventually(t, func() bool {
+		result, err := runners[0].Commit(context.Background(), 0, change)
+		return err == nil && result.Acknowledged
+	}, time.Minute, 50*time.Millisecond)
+	for _, r := range runners {
+		require.Eventually(t, func() bool { return r.follower.Configuration().InForce >= 1 }, time.Minute, 50*time.Millisecond)
+		assert.NoError(t, r.Tracker().Snapshot().MaySend(time.Now()))
+	}
+}
+
+// Measures one heartbeat call over TCP: both ends' time and all bytes of the
+// connection without TCP and IP headers.
+func BenchmarkHeartbeatOverTCP(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			var view membership.View
+			for i := range n {
+				view = view.Join(membership.Member{Identity: membership.Identity{Name: fmt.Sprintf("entry-%02d", i), Incarnation: 1764806400000}})
+			}
+			view.Changes, view.Epoch = nil, 1000
+			bytes := &atomic.Int64{}
+			var ends [2]*Runner
+			var addresses [2]string
+			for i := range ends {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(b, err)
+				addresses[i] = listener.Addr().String()
+				server, client := peer.New(peer.Options{Address: addresses[i], Key: "a shared key of the tests"})
+				table := storeClient{newStore(), "x"}
+				ends[i] = New(Config{
+					Cell: "cell", Self: view.Members[i], Table: table, Peers: client,
+					Log: changelog.NewLog(table, nil, changelog.NewFollower(parse)),
+				})
+				ends[i].Register(server)
+				ends[i].tracker.SetIncarnation(time.Now(), 1764806400000)
+				ends[i].tracker.SetApplied(time.Now(), 100_000)
+				ends[i].tracker.ObserveStoreRead(time.Now(), time.Now().Add(-time.Millisecond*300), view, 100_000)
+				go func() { _ = server.Serve(countingListener{listener, bytes}) }()
+				b.Cleanup(func() { _ = client.Close(); _ = server.Close() })
+			}
+			ends[0].heartbeat(context.Background(), addresses[1])
+			before := bytes.Load()
+			b.ReportAllocs()
+			for b.Loop() {
+				ends[0].heartbeat(context.Background(), addresses[1])
+			}
+			b.ReportMetric(float64(bytes.Load()-before)/float64(b.N), "wire-bytes/op")
+		})
+	}
+}
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -99,6 +99,7 @@
 	paused, other := c.trackers[0], c.trackers[1]
 	pool := ownedPool(t, paused)
 	require.NoError(t, paused.Snapshot().MayGrant(c.now, pool))
+	c.now = c.now.Add(ms)
 	sent := c.now
 	answer := other.Heartbeat(c.now, NoView)
 	c.now = c.now.Add(4 * time.Second) // SIGSTOP, then SIGCONT
@@ -218,6 +219,8 @@
 	assert.Error(t, joiner.Snapshot().MayGrant(c.now, pool), "no majority of the earlier view has moved on")
 
 	previous, _ := newRanking(c.view.identities()[:2]).at(pool, 0)
+	joiner.ObserveHandover(c.now, pool, previous, 2)
+	assert.Error(t, joiner.Snapshot().MayGrant(c.now, pool), "by epoch 2 the previous owner may still grant")
 	joiner.ObserveHandover(c.now, pool, previous, 3)
 	assert.NoError(t, joiner.Snapshot().MayGrant(c.now, pool), "the previous owner handed over")
 
@@ -263,6 +266,68 @@
 	assert.Equal(t, uint64(1), c.trackers[0].InForce(c.now))
 }
 
+// grow lets n daemons join at once, with the floor that the store would set.
+func (c *cluster) grow(n int) []*Tracker {
+	var joiners []*Tracker
+	for range n {
+		id := Identity{fmt.Sprintf("h%02d", len(c.trackers)), 99}
+		c.view = c.view.Join(Member{Identity: id})
+		c.view.Floor = c.head
+		joiners = append(joiners, NewTracker("cell", id, c.now))
+		c.trackers = append(c.trackers, joiners[len(joiners)-1])
+	}
+	c.read(joiners...)
+	return joiners
+}
+
+// Guards against a majority of daemons that joined after an accepted change and
+// lost the store before they read it.
+func TestOutageModeNeedsTheRevisionOfTheView(t *testing.T) {
+	c := newCluster(3)
+	c.head = 1 // accepted by the first two, who are not reachable any more
+	group := append(c.grow(3), c.trackers[2])
+	c.advance(5*time.Second, func() { c.round(group...) })
+	for _, tr := range group {
+		assert.Equal(t, uint64(6), tr.Snapshot().View.Epoch)
+		assert.Error(t, tr.Snapshot().MaySend(c.now))
+		tr.SetApplied(c.now, 1)
+	}
+	c.advance(500*ms, func() { c.round(group...) })
+	assert.NoError(t, c.trackers[2].Snapshot().MaySend(c.now))
+}
+
+// Guards against a change that is accepted by joiners alone while daemons that do
+// not know the new view still form a majority of the earlier one.
+func TestCommitNeedsAMajorityOfEarlierViews(t *testing.T) {
+	c := newCluster(3)
+	group := append(c.grow(3), c.trackers[0])
+	c.advance(time.Second, func() { c.read(group...); c.round(group...) })
+	assert.True(t, failure.Is(c.trackers[0].Snapshot().MayCommit(c.now), failure.Isolated))
+	assert.False(t, c.trackers[0].Snapshot().Majority(c.now, map[string]bool{"h03": true, "h04": true, "h05": true}))
+	c.call(c.trackers[0], c.trackers[1], true)
+	assert.NoError(t, c.trackers[0].Snapshot().MayCommit(c.now))
+}
+
+// Guards against a majority that counts a run which has forgotten what the run in
+// the view had acknowledged.
+func TestForgetfulRunIsNoContact(t *testing.T) {
+	c := newCluster(3)
+	fresh := NewTracker("cell", Identity{"h01", 99}, c.now)
+	c.advance(4*time.Second, func() { c.round(c.trackers[0], fresh) })
+	assert.True(t, failure.Is(c.trackers[0].Snapshot().MaySend(c.now), failure.Isolated))
+}
+
+// Guards against a daemon that sends or grants after it has begun to leave.
+func TestStoppedDaemonHasNoRights(t *testing.T) {
+	c := newCluster(1)
+	only := c.trackers[0]
+	require.NoError(t, only.Snapshot().MayGrant(c.now, "p"))
+	only.Stop(c.now)
+	c.read(only)
+	assert.Error(t, only.Snapshot().MayGrant(c.now, "p"))
+	assert.Error(t, only.Snapshot().MaySend(c.now))
+}
+
 // Guards against a daemon that starts during a store outage from less than a majority.
 func TestStartDuringStoreOutage(t *testing.T) {
 	c := newCluster(5)
