--- a/internal/rollout/assign.go
+++ b/internal/rollout/assign.go
@@ -25,7 +25,7 @@
 	FirstCallShare = 5
 	// MaxRoutes bounds the routes of a rollout, and with them the memory of a daemon,
 	// the size of reports and the correction for the number of tests.
-	MaxRoutes = 256
+	MaxRoutes = 64
 	// shareUnits is the resolution of the split: 100 units are one percent.
 	shareUnits = 10_000
 )
--- a/internal/rollout/counter.go
+++ b/internal/rollout/counter.go
@@ -1,10 +1,6 @@
 package rollout
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 // Outcome is what one finished request tells about its version.
 type Outcome struct {
@@ -73,9 +69,9 @@
 	Both  Comparison `json:"both"`
 }
 
-// Report is a daemon's cumulative evidence since the start of the rollout. A later
-// Sequence of the same incarnation replaces the earlier one, so that reports may be
-// lost, repeated and reordered.
+// Report is a daemon's cumulative evidence since the start of the rollout. Of the same
+// incarnation only a higher Sequence counts, and each entry replaces the earlier one of
+// its step and route, so that reports may be lost, repeated and reordered.
 type Report struct {
 	Daemon      string        `json:"daemon"`
 	Incarnation string        `json:"incarnation"`
@@ -88,17 +84,24 @@
 	route string
 }
 
+// counted is a comparison with the sequence of the report that first shows its last change.
+type counted struct {
+	Comparison
+	changed uint64
+}
+
 // Counter collects a daemon's evidence for one rollout. It is not safe for
 // concurrent use; its caller serialises access.
 type Counter struct {
 	daemon, incarnation string
-	sequence            uint64
-	counts              map[routeKey]*Comparison
+	sequence, lastFull  uint64
+	counts              map[routeKey]*counted
+	order               []routeKey // of first appearance
 }
 
 // NewCounter returns an empty counter for the given daemon.
 func NewCounter(daemon, incarnation string) *Counter {
-	return &Counter{daemon: daemon, incarnation: incarnation, counts: map[routeKey]*Comparison{}}
+	return &Counter{daemon: daemon, incarnation: incarnation, counts: map[routeKey]*counted{}}
 }
 
 // Record counts an outcome. The step is that in which the request was assigned, since
@@ -107,9 +110,11 @@
 	key := routeKey{step, route}
 	both := c.counts[key]
 	if both == nil {
-		both = &Comparison{}
+		both = &counted{}
 		c.counts[key] = both
+		c.order = append(c.order, key)
 	}
+	both.changed = c.sequence + 1
 	if onNew {
 		both.New.add(o)
 	} else {
@@ -117,12 +122,20 @@
 	}
 }
 
-// Report returns the cumulative evidence. The result is the caller's own copy.
-func (c *Counter) Report() Report {
+// Report returns the cumulative counts of all routes if full is set, and otherwise of
+// those that changed since the last full report, so that a lost partial report is healed
+// by the next one. The caller asks for a full one when the controller changed, when a
+// send failed, and every 10 s to keep partial ones small. The result is the caller's own copy.
+func (c *Counter) Report(full bool) Report {
 	c.sequence++
 	r := Report{Daemon: c.daemon, Incarnation: c.incarnation, Sequence: c.sequence}
-	for _, key := range slices.SortedFunc(maps.Keys(c.counts), compareKeys) {
-		r.Counts = append(r.Counts, RouteCounts{Step: key.step, Route: key.route, Both: *c.counts[key]})
+	for _, key := range c.order {
+		if both := c.counts[key]; full || both.changed > c.lastFull {
+			r.Counts = append(r.Counts, RouteCounts{Step: key.step, Route: key.route, Both: both.Comparison})
+		}
+	}
+	if full {
+		c.lastFull = c.sequence
 	}
 	return r
 }
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -1,10 +1,11 @@
 package rollout
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
 )
 
 // window is the spacing of the points from which the test for late faults can
@@ -33,8 +34,12 @@
 // overall is the key of the sum over all routes; no account has an empty name.
 const overall = ""
 
-func compareKeys(a, b routeKey) int {
-	return cmp.Or(cmp.Compare(a.step, b.step), cmp.Compare(a.route, b.route))
+// summed is the sum of one step and route. The evidence of a step that is over hardly
+// changes, so that it is kept until the next report about it.
+type summed struct {
+	Comparison
+	policy entity.RolloutPolicy // of evidence; zero when it must be computed again
+	pooledSums
 }
 
 // Evidence sums the reports of all daemons for one rollout. A new controller starts
@@ -44,17 +49,17 @@
 type Evidence struct {
 	sources map[source]*sourceState
 	// totals holds the sums by step and route, with the overall sum under the route "".
-	totals map[routeKey]*Comparison
+	totals map[routeKey]*summed
 	step   int
 	starts []start
 }
 
 // NewEvidence returns evidence without reports.
 func NewEvidence() *Evidence {
-	return &Evidence{sources: map[source]*sourceState{}, totals: map[routeKey]*Comparison{}}
+	return &Evidence{sources: map[source]*sourceState{}, totals: map[routeKey]*summed{}}
 }
 
-// Merge replaces the earlier report of the same daemon and incarnation. It returns
+// Merge replaces the earlier counts of the same daemon and incarnation. It returns
 // false for a report that is not newer.
 func (e *Evidence) Merge(r Report) bool {
 	key := source{r.Daemon, r.Incarnation}
@@ -74,19 +79,20 @@
 		if known && before == rc.Both {
 			continue
 		}
-		for _, total := range []*Comparison{e.total(key), e.total(routeKey{rc.Step, overall})} {
+		for _, total := range [...]*summed{e.total(key), e.total(routeKey{rc.Step, overall})} {
 			total.plus(&rc.Both)
 			total.minus(&before)
+			total.policy = entity.RolloutPolicy{}
 		}
 		state.counts[key] = rc.Both
 	}
 	return true
 }
 
-func (e *Evidence) total(key routeKey) *Comparison {
+func (e *Evidence) total(key routeKey) *summed {
 	t := e.totals[key]
 	if t == nil {
-		t = &Comparison{}
+		t = &summed{}
 		e.totals[key] = t
 	}
 	return t
@@ -95,7 +101,7 @@
 // Total returns the sums over all routes in the given step.
 func (e *Evidence) Total(step int) Comparison {
 	if t := e.totals[routeKey{step, overall}]; t != nil {
-		return *t
+		return t.Comparison
 	}
 	return Comparison{}
 }
@@ -123,7 +129,7 @@
 	totals := map[string]Comparison{}
 	for key, total := range e.totals {
 		if key.step == step {
-			totals[key.route] = *total
+			totals[key.route] = total.Comparison
 		}
 	}
 	e.starts = thin(append(e.starts, start{now, totals}), now)
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -17,7 +17,8 @@
 	// confidence is the number of standard errors that the old version's rate is raised by,
 	// because an old rate that is estimated too low makes a good version look bad.
 	confidence = 2
-	// minBaseline is the number of the old version's durations below which no 95th percentile is taken.
+	// minBaseline is the number of the old version's requests in a period below which no 95th
+	// percentile is taken, and below which its failure rate is that of all steps.
 	minBaseline = 50
 	slowPercent = 0.95
 	// maxRate bounds hypothetical rates away from certainty.
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -51,7 +51,7 @@
 		return Verdict{}
 	}
 	e.advance(now, r.Step)
-	t := tester{now: now, rollout: r, policy: s.Rollout, evidence: e, routes: e.routes()}
+	t := tester{now: now, rollout: r, policy: s.Rollout, evidence: e, routes: e.routes(), sums: map[string]pooledSums{}}
 	t.bounds = boundsFor(len(t.routes), s.Rollout.FinishWithin)
 	if reason := t.fault(); reason != "" {
 		return Verdict{Action: Undo, Reason: reason}
@@ -67,8 +67,12 @@
 	evidence *Evidence
 	routes   []string
 	bounds   bounds
+	sums     map[string]pooledSums
 }
 
+// pooledSums are the sums of one route over all steps, by statistic.
+type pooledSums struct{ against, leaning [statistics]float64 }
+
 // fault returns the reason for an undo, or "".
 func (t *tester) fault() string {
 	if reason := t.faultOf(overall, t.bounds.pooled, t.bounds.late); reason != "" {
@@ -83,9 +87,9 @@
 }
 
 func (t *tester) faultOf(route string, pooled, late float64) string {
-	for s := range statistics {
-		if x := t.pooled(route, s, trial.against); x >= pooled {
-			return describe(route, s, "since the start of the rollout", x, pooled)
+	for s, x := range t.pooled(route).against {
+		if x >= pooled {
+			return describe(route, statistic(s), "since the start of the rollout", x, pooled)
 		}
 	}
 	current := t.evidence.totals[routeKey{t.rollout.Step, route}]
@@ -97,10 +101,14 @@
 		if from.New == current.New {
 			continue
 		}
-		since := *current
+		since := current.Comparison
 		since.minus(&from)
 		for s := range statistics {
-			if x := t.trial(route, s, &since).against(t.policy.MaxErrorIncrease); x >= late {
+			sample := t.trial(route, s, &since)
+			if sample.new.bad == 0 {
+				continue // the evidence cannot be positive
+			}
+			if x := sample.against(t.policy.MaxErrorIncrease); x >= late {
 				return describe(route, s, "since "+t.evidence.starts[i].at.UTC().Format(time.RFC3339), x, late)
 			}
 		}
@@ -116,19 +124,22 @@
 	return fmt.Sprintf("more %s than the old version %s %s (evidence %.1f, bound %.1f)", s, where, since, evidence, bound)
 }
 
-// trial reduces counts of the current step. At 100% the old version receives nothing, so
-// that its failure rate comes from the earlier steps, while slowness cannot be compared.
+// trial reduces counts of the current step.
 func (t *tester) trial(route string, s statistic, c *Comparison) trial {
-	return t.withBaseline(trialOf(s, c, t.policy), route, s, t.rollout.Step)
+	return t.withBaseline(trialOf(s, c, t.policy), route, s)
 }
 
-// withBaseline takes the route's own earlier rate: routes may differ in what fails on them.
-func (t *tester) withBaseline(x trial, route string, s statistic, step int) trial {
-	if step < 100 || s != failures {
+// withBaseline replaces a failure rate of the old version that rests on too few requests
+// by the route's rate over all steps. Otherwise a bad version could pass for lack of a
+// baseline, at 100% in particular, where the old version receives nothing. Slowness is
+// compared within one period only, because it depends on the load.
+func (t *tester) withBaseline(x trial, route string, s statistic) trial {
+	if s != failures || x.old.all >= minBaseline {
 		return x
 	}
-	for _, earlier := range Steps[:len(Steps)-1] {
-		if total := t.evidence.totals[routeKey{earlier, route}]; total != nil {
+	x.old = sample{}
+	for _, step := range Steps {
+		if total := t.evidence.totals[routeKey{step, route}]; total != nil {
 			x.old.bad += float64(total.Old.Failure)
 			x.old.all += float64(total.Old.Failure + total.Old.Success)
 		}
@@ -138,13 +149,38 @@
 
 // pooled sums the evidence of all steps. Each step has its own baseline, since shares and
 // load differ between steps.
-func (t *tester) pooled(route string, s statistic, evidence func(trial, float64) float64) (sum float64) {
+func (t *tester) pooled(route string) pooledSums {
+	if sums, known := t.sums[route]; known {
+		return sums
+	}
+	var sums pooledSums
 	for _, step := range Steps[:stepIndex(t.rollout.Step)+1] {
-		if total := t.evidence.totals[routeKey{step, route}]; total != nil {
-			sum += evidence(t.withBaseline(trialOf(s, total, t.policy), route, s, step), t.policy.MaxErrorIncrease)
+		total := t.evidence.totals[routeKey{step, route}]
+		if total == nil {
+			continue
+		}
+		for s, x := range t.stepSums(total, route).against {
+			sums.against[s] += x
+			sums.leaning[s] += total.leaning[s]
 		}
 	}
-	return sum
+	t.sums[route] = sums
+	return sums
+}
+
+// stepSums returns the evidence of one step. It is kept unless the baseline comes from
+// other steps.
+func (t *tester) stepSums(total *summed, route string) *pooledSums {
+	if total.policy == t.policy && total.Old.Failure+total.Old.Success >= minBaseline {
+		return &total.pooledSums
+	}
+	total.policy = t.policy
+	for s := range statistics {
+		x := t.withBaseline(trialOf(s, &total.Comparison, t.policy), route, s)
+		total.against[s] = x.against(t.policy.MaxErrorIncrease)
+		total.leaning[s] = x.leaning(t.policy.MaxErrorIncrease)
+	}
+	return &total.pooledSums
 }
 
 // progress decides about a rollout that shows no fault.
@@ -207,9 +243,9 @@
 		if route == overall {
 			bound = t.bounds.condemn
 		}
-		for s := range statistics {
-			if x := t.pooled(route, s, trial.against); x >= bound {
-				return describe(route, s, "when the time for the step was over", x, bound)
+		for s, x := range t.pooled(route).against {
+			if x >= bound {
+				return describe(route, statistic(s), "when the time for the step was over", x, bound)
 			}
 		}
 	}
@@ -217,8 +253,8 @@
 }
 
 func (t *tester) leansAgainst() bool {
-	for s := range statistics {
-		if t.pooled(overall, s, trial.leaning) > 0 {
+	for _, x := range t.pooled(overall).leaning {
+		if x > 0 {
 			return true
 		}
 	}
