--- /dev/null
+++ b/internal/pool/decide_test.go
@@ -0,0 +1,233 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/quarantine"
+)
+
+// warmState returns a pool whose engines have reported themselves warm and idle.
+func warmState(upstreams int) (*State, time.Time) {
+	s := New(Config{Pool: testPool("engine", upstreams, engineLimits)})
+	now := t0.Add(time.Second)
+	for _, u := range s.upstreams {
+		s.Report(now, Report{Upstream: u.name, Incarnation: "1"})
+	}
+	return s, now
+}
+
+// acquire asks for a permit and returns the grants and refusals of the decision.
+func acquire(s *State, now time.Time, r Request) ([]Permit, map[string]Reason) {
+	s.Acquire(now, r)
+	commands := s.Decide(now)
+	return grants(commands), refusals(commands)
+}
+
+// A request that cannot be served must be refused at once, with its reason.
+func TestRefusals(t *testing.T) {
+	s, now := warmState(2)
+	tooLarge := request(1)
+	tooLarge.PromptTokens = engineLimits.MemoryTokens
+	_, refused := acquire(s, now, tooLarge)
+	require.Equal(t, ReasonNeverFits, refused["r1"])
+	excluded := request(2)
+	excluded.Exclude = []string{"e000", "e001"}
+	_, refused = acquire(s, now, excluded)
+	require.Equal(t, ReasonNoUpstream, refused["r2"])
+	late := request(3)
+	late.Deadline = now.Add(-time.Second)
+	_, refused = acquire(s, now, late)
+	require.Equal(t, ReasonDeadline, refused["r3"])
+	s.Notify(now, quarantine.Notice{Fingerprint: 5, Losses: 2, Refused: true})
+	_, refused = acquire(s, now, request(4))
+	require.Equal(t, ReasonQuarantined, refused["r4"])
+}
+
+// Work must stop when the data centre is taken out, and start again afterwards.
+func TestDataCentreOut(t *testing.T) {
+	s, now := warmState(1)
+	s.SetPool(now, s.pool, true)
+	granted, refused := acquire(s, now, request(1))
+	require.Empty(t, granted)
+	require.Equal(t, ReasonNoUpstream, refused["r1"])
+	s.SetPool(now, s.pool, false)
+	granted, _ = acquire(s, now, request(1))
+	require.Len(t, granted, 1)
+}
+
+// A waiting request must be refused when its pool is taken out, its deadline
+// passes or its requester leaves; none of them may be granted later.
+func TestWaitingRequestsLeave(t *testing.T) {
+	s := New(Config{Pool: testPool("engine", 1, engineLimits)})
+	for i := range 4 {
+		r := request(i)
+		r.Deadline = t0.Add(time.Duration(i+1) * time.Second)
+		s.Acquire(t0, r)
+	}
+	permits := grants(s.Decide(t0))
+	require.Len(t, permits, 2)
+	s.Abandon(t0, "r2")
+	now := t0.Add(5 * time.Second)
+	commands := s.Decide(now)
+	require.Equal(t, map[string]Reason{"r3": ReasonDeadline}, refusals(commands))
+	s.Release(now, permits[0].ID, Completed, 5)
+	require.Empty(t, s.Decide(now))
+}
+
+// A request whose wait would exceed its deadline must be refused at once.
+func TestEarlyRefusal(t *testing.T) {
+	s := New(Config{Pool: testPool("engine", 1, engineLimits)})
+	now, next := t0, 0
+	for range 10 { // about one request a second, while others wait
+		s.Acquire(now, request(next))
+		s.Acquire(now, request(next+1))
+		next += 2
+		for _, p := range grants(s.Decide(now)) {
+			s.Release(now.Add(time.Second/2), p.ID, Completed, 100)
+		}
+		now = now.Add(time.Second)
+	}
+	for range 40 {
+		s.Acquire(now, request(next))
+		next++
+	}
+	urgent := request(next)
+	urgent.Deadline = now.Add(2 * time.Second)
+	require.Equal(t, ReasonDeadline, refusals(func() []Command { s.Acquire(now, urgent); return s.Decide(now) }())[urgent.ID])
+}
+
+// The slot of a permit whose holder is silent must stay taken until the
+// cancellation is confirmed or a newer report proves it.
+func TestExpiredSlotIsNotReused(t *testing.T) {
+	for _, byReport := range []bool{false, true} {
+		s := New(Config{Pool: testPool("engine", 1, engineLimits)})
+		for i := range 3 {
+			s.Acquire(t0, request(i))
+		}
+		permits := grants(s.Decide(t0))
+		require.Len(t, permits, 2)
+		now := t0.Add(9 * time.Second)
+		s.Progress(now, []Progress{{PermitID: permits[1].ID, Tokens: 5, StepTime: 20 * time.Millisecond}})
+		now = t0.Add(10 * time.Second)
+		require.Equal(t, []Command{CancelAtUpstream{PermitID: permits[0].ID, RequestID: "r0", Upstream: "e000"}}, s.Decide(now))
+		s.Progress(now, []Progress{{PermitID: permits[0].ID, Tokens: 7}})
+		require.Equal(t, []uint64{permits[0].ID}, s.Unknown(), "an expired permit is not renewed")
+		now = now.Add(3 * time.Second)
+		require.Len(t, s.Decide(now), 1, "the cancellation is repeated")
+		if byReport {
+			s.Report(now, Report{Upstream: "e000", Running: 2, Cold: true})
+			require.Empty(t, s.Decide(now))
+			s.Report(now, Report{Upstream: "e000", Running: 1, Cold: true})
+		} else {
+			s.ConfirmCancelled(now, permits[0].ID)
+		}
+		require.Len(t, grants(s.Decide(now)), 1)
+	}
+}
+
+// Asking again must repeat the grant and not run the request twice.
+func TestAcquireIsIdempotent(t *testing.T) {
+	s, now := warmState(2)
+	first, _ := acquire(s, now, request(1))
+	second, _ := acquire(s, now, request(1))
+	require.Equal(t, first, second)
+	require.Equal(t, 1, s.Snapshot(now).Upstreams[0].Running+s.Snapshot(now).Upstreams[1].Running)
+}
+
+// A request that crashes engines must run alone after the first loss, and must be
+// refused after the second.
+func TestCrashingRequest(t *testing.T) {
+	s, now := warmState(3)
+	bad := request(1)
+	first, _ := acquire(s, now, bad)
+	s.Lose(now, first[0].Upstream)
+	s.Lose(now, first[0].Upstream)
+	require.NotEmpty(t, s.Notices(), "other daemons must learn of the suspects")
+	for i := 10; i < 16; i++ {
+		s.Acquire(now, request(i))
+	}
+	busy := grants(s.Decide(now))
+	bad.ID = "again"
+	granted, _ := acquire(s, now, bad)
+	require.Empty(t, granted, "a suspect waits for an empty upstream")
+	for _, p := range busy {
+		s.Release(now, p.ID, Completed, 10)
+	}
+	alone := grants(s.Decide(now))
+	require.Len(t, alone, 1)
+	require.True(t, alone[0].Alone)
+	other, _ := acquire(s, now, request(20))
+	require.Len(t, other, 1)
+	require.NotEqual(t, alone[0].Upstream, other[0].Upstream)
+	now = now.Add(time.Minute)
+	s.Lose(now, alone[0].Upstream)
+	bad.ID = "third"
+	_, refused := acquire(s, now, bad)
+	require.Equal(t, ReasonQuarantined, refused["third"])
+}
+
+// A restart that shows only in the reports must end what ran before it.
+func TestRestartShowsInReports(t *testing.T) {
+	s, now := warmState(1)
+	permits, _ := acquire(s, now, request(1))
+	s.Progress(now.Add(time.Second), []Progress{{PermitID: permits[0].ID, Tokens: 1}})
+	s.Report(now.Add(2*time.Second), Report{Upstream: "e000", Incarnation: "1", Running: 1})
+	s.Report(now.Add(3*time.Second), Report{Upstream: "e000", Incarnation: "2", Cold: true})
+	status := s.Snapshot(now.Add(3 * time.Second)).Upstreams[0]
+	require.Equal(t, 0, status.Running)
+	require.Equal(t, 2, status.Limit)
+	require.True(t, status.Cold)
+}
+
+// A request that fits nowhere must not block smaller ones at once, and must not
+// be overtaken for ever.
+func TestLargeRequestIsNotStarved(t *testing.T) {
+	s, now := warmState(1)
+	running, _ := acquire(s, now, request(0))
+	large := request(1)
+	large.Account, large.PromptTokens = "b", engineLimits.MemoryTokens-100
+	granted, _ := acquire(s, now, large)
+	require.Empty(t, granted)
+	granted, _ = acquire(s, now, request(2))
+	require.Len(t, granted, 1, "a smaller request overtakes at first")
+	running = append(running, granted...)
+	for i := 3; s.requests["r1"] == nil; i++ {
+		require.Less(t, i, 10, "the large request starves")
+		now = now.Add(3 * time.Second)
+		s.Progress(now, []Progress{{PermitID: running[len(running)-1].ID, Tokens: 100}})
+		s.Acquire(now, request(2*i))
+		s.Acquire(now, request(2*i+1))
+		s.Release(now, running[0].ID, Completed, 500)
+		running = append(running[1:], grants(s.Decide(now))...)
+	}
+}
+
+// Identical calls must give identical commands: no map order may leak into them.
+func TestDecisionsAreDeterministic(t *testing.T) {
+	play := func() (out []Command) {
+		s, now := warmState(5)
+		for i := range 300 {
+			r := request(i)
+			r.Account, r.Service, r.Priority = fmt.Sprint("a", i%7), fmt.Sprint("s", i%3), i%10
+			r.Deadline = now.Add(time.Duration(1+i%5) * time.Second)
+			s.Acquire(now, r)
+			commands := s.Decide(now)
+			for _, p := range grants(commands) {
+				if p.ID%3 == 0 {
+					s.Release(now, p.ID, Completed, int(p.ID*37%500))
+				}
+			}
+			if i%90 == 89 {
+				s.Lose(now, fmt.Sprintf("e%03d", i/90))
+			}
+			out = append(out, commands...)
+			now = now.Add(70 * time.Millisecond)
+		}
+		return out
+	}
+	require.Equal(t, play(), play())
+}
