--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -20,6 +20,8 @@
 	// evidenceInterval is the time between a daemon's reports and between verdicts.
 	evidenceInterval = 500 * time.Millisecond
 	evidenceTimeout  = time.Second
+	// fullReportInterval is the time between reports of all routes.
+	fullReportInterval = 10 * time.Second
 )
 
 // evidenceParams carries a daemon's evidence to the controller of a rollout.
@@ -28,6 +30,12 @@
 	Report  rollout.Report `json:"report"`
 }
 
+// sentReport is the last report that reached a controller.
+type sentReport struct {
+	controller membership.Identity
+	fullAt     time.Time
+}
+
 // committer commits a change decided by the system itself. Implementations are
 // safe for concurrent use.
 type committer interface {
@@ -47,13 +55,14 @@
 
 	mu       sync.Mutex
 	counters map[string]*rollout.Counter  // by change identifier
+	sent     map[string]sentReport        // by change identifier
 	evidence map[string]*rollout.Evidence // of controlled rollouts, by change identifier
 }
 
 func newRollouts(config func() *entity.Configuration, tracker *membership.Tracker, caller permit.Caller, log logr.Logger) *rollouts {
 	return &rollouts{
 		config: config, tracker: tracker, caller: caller, log: log, self: tracker.Snapshot().Self,
-		counters: map[string]*rollout.Counter{}, evidence: map[string]*rollout.Evidence{},
+		counters: map[string]*rollout.Counter{}, sent: map[string]sentReport{}, evidence: map[string]*rollout.Evidence{},
 	}
 }
 
@@ -117,24 +126,37 @@
 	r.forget(live)
 }
 
+// report sends this daemon's evidence to the controller: all of it to a new
+// controller, after a failure and every fullReportInterval, else what changed.
 func (r *rollouts) report(ctx context.Context, running entity.Rollout) {
+	controller, ok := r.tracker.Snapshot().Controller(running.Service)
+	if !ok {
+		return
+	}
+	now := time.Now()
 	r.mu.Lock()
-	counter := r.counters[running.ChangeID]
+	counter, last := r.counters[running.ChangeID], r.sent[running.ChangeID]
 	if counter == nil {
 		r.mu.Unlock()
 		return
 	}
-	params := evidenceParams{Rollout: running.ChangeID, Report: counter.Report()}
+	full := last.controller != controller.Identity || now.Sub(last.fullAt) >= fullReportInterval
+	params := evidenceParams{Rollout: running.ChangeID, Report: counter.Report(full)}
 	r.mu.Unlock()
-	controller, ok := r.tracker.Snapshot().Controller(running.Service)
-	if !ok {
-		return
-	}
+
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
-	if err := r.caller.Call(ctx, controller.PeerAddress, methodEvidence, params, nil); err != nil {
+	err := r.caller.Call(ctx, controller.PeerAddress, methodEvidence, params, nil)
+	switch {
+	case err != nil:
+		last = sentReport{}
 		r.log.V(1).Info("evidence was not delivered", "service", running.Service, "controller", controller.Name, "error", err.Error())
+	case full:
+		last = sentReport{controller.Identity, now}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[running.ChangeID] = last
 }
 
 // decide judges a rollout. The identifier of the decision follows from the
@@ -174,6 +196,7 @@
 	for id := range r.counters {
 		if !live[id] {
 			delete(r.counters, id)
+			delete(r.sent, id)
 		}
 	}
 	for id := range r.evidence {
--- a/internal/membership/runner/sync.go
+++ b/internal/membership/runner/sync.go
@@ -73,7 +73,7 @@
 	}
 	r.observed()
 	r.record("change-committed", timeline.Attr("revision", revision), timeline.Attr("change", change.ID),
-		timeline.Attr("kind", change.Kind), timeline.Attr("operator", change.Operator))
+		timeline.Attr("change-kind", change.Kind), timeline.Attr("operator", change.Operator))
 	acks := make(chan string, ackBuffer)
 	spawned := r.spawn(func() {
 		defer close(acks)
