Bound the attempts of a claim and take refusals as proof only where the text says so

A claim whose writes all had an unknown outcome was written for ever; the random test with an unreachable outcome hung. It now gives up as not run and turns a late write into a refusal. A 503 of a plain service proves nothing unless its pool sets refusals-prove-not-run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,7 +139,7 @@
 	d.rollouts = newRollouts(d.follower.Configuration, d.tracker, d.client, d.log)
 	d.relay = &relay.Relay{
 		Engine: engine, Plain: plain, Permits: d.permits, Ledger: d.ledger, Config: d.follower.Configuration,
-		Pools: d.statuses, Signer: stream.NewSigner(s.Keys.Resume), Events: d.events, Evidence: d.rollouts,
+		Pools: d.statuses, Signer: stream.NewSigner(s.Keys.Resume), Events: d.events, Evidence: observer{d.metrics, d.rollouts},
 		Budget: &budget{}, Log: d.log, DataCentre: s.Host.DataCentre, OtherHosts: d.otherHosts,
 		Handover: d.drain.handover, MaxWholeBytes: maxWholeBytes,
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"strconv"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rattanscale/rattanscale/internal/relay"
 )
 
 // registerMetrics registers the gauges of this daemon. docs/operations.md lists them.
@@ -32,7 +36,25 @@
 
 func u64(n uint64) string { return strconv.FormatUint(n, 10) }
 
-// countRequest counts a finished request by service and result.
-func (d *Daemon) countRequest(service, result string) {
-	d.metrics.GetOrCreateCounter(fmt.Sprintf("rattanscale_requests_total{service=%q,result=%q}", service, result)).Inc()
+// observer counts finished requests and passes them on to the rollouts. It
+// implements relay.Evidence and is safe for concurrent use.
+type observer struct {
+	metrics  *metrics.Set
+	rollouts *rollouts
+}
+
+// Observe records the result of one request.
+func (o observer) Observe(r relay.Observation) {
+	result := "failure"
+	if r.Success {
+		result = "success"
+	}
+	o.metrics.GetOrCreateCounter(fmt.Sprintf("rattanscale_requests_total{service=%q,version=%q,result=%q}", r.Service, r.Version, result)).Inc()
+	if r.FirstToken > 0 {
+		o.metrics.GetOrCreateHistogram(fmt.Sprintf("rattanscale_first_token_seconds{service=%q}", r.Service)).Update(r.FirstToken.Seconds())
+	}
+	if r.Step > 0 {
+		o.metrics.GetOrCreateHistogram(fmt.Sprintf("rattanscale_token_step_seconds{service=%q}", r.Service)).Update(r.Step.Seconds())
+	}
+	o.rollouts.Observe(r)
 }
--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -62,8 +62,11 @@
 	Kind       UpstreamKind
 	DataCentre string
 	Fencing    Fencing
-	Limits     Limits
-	Upstreams  []Upstream
+	// RefusalsProveNotRun is set when statuses 429 and 503 of a plain service mean
+	// that the call certainly did not run.
+	RefusalsProveNotRun bool
+	Limits              Limits
+	Upstreams           []Upstream
 }
 
 // Version is one version of a service.
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -37,6 +37,8 @@
 	outcomeWindow = 50 * time.Millisecond
 	commitTimeout = time.Second
 	readTimeout   = time.Second
+	// claimAttempts bounds the writes of one claim whose outcome stays unknown.
+	claimAttempts = 4
 	// readAttempts bounds the reads that resolve a write whose answer was lost.
 	readAttempts = 3
 	// outcomeRetryLimit is how long an outcome is retried while the store is out.
@@ -116,7 +118,7 @@
 		key:    platform.Key{Partition: "call#" + account, Sort: key},
 		record: Record{Fingerprint: fingerprint, Token: rand.Text(), Holder: l.holder, State: StateClaimed, At: l.now().UTC()},
 	}
-	for {
+	for range claimAttempts {
 		err := claim.write(ctx)
 		switch {
 		case err == nil:
@@ -147,9 +149,11 @@
 			claim.version = version
 		}
 		if ctx.Err() != nil {
-			return nil, nil, failure.NotRun(failure.DeadlineExceeded, "the call was not sent in time")
+			break
 		}
 	}
+	claim.repair()
+	return nil, nil, failure.NotRun(failure.StoreUnavailable, "the call could not be recorded in %d attempts", claimAttempts)
 }
 
 // write stores the claim if the row still has the version that was read.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -84,7 +84,7 @@
 			r.finishClaim(ctx, call, claim, response)
 			return CallResult{Response: response}, nil
 		}
-		if !provesNotRun(err) {
+		if !provesNotRun(t, err) {
 			return CallResult{}, failure.New(failure.OutcomeUnknown, "upstream %s: %v", t.upstream.Name, err)
 		}
 		if refuseErr := claim.Refuse(context.WithoutCancel(ctx)); refuseErr != nil {
@@ -139,11 +139,18 @@
 	return idempotency.Response{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: response.Body}, nil
 }
 
-// provesNotRun reports whether the error proves that the upstream did not run the call.
-func provesNotRun(err error) bool {
+// provesNotRun reports whether the error proves that the upstream did not run the
+// call. A refusal proves it only where the service text says so.
+func provesNotRun(t target, err error) bool {
 	var refused *upstream.RefusedError
 	var typed *failure.Error
-	return errors.Is(err, upstream.ErrNotSent) || errors.As(err, &refused) || errors.As(err, &typed) && typed.NotRun()
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return true
+	case errors.As(err, &refused):
+		return t.refusalsProveNotRun()
+	}
+	return errors.As(err, &typed) && typed.NotRun()
 }
 
 func callFailure(t target, err error) error {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -296,8 +296,10 @@
 func sendFailure(t target, err error) error {
 	var refused *upstream.RefusedError
 	switch {
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && t.refusalsProveNotRun():
 		return failure.NotRun(failure.UpstreamRefused, "upstream %s: %s", t.upstream.Name, refused.Message)
+	case errors.As(err, &refused):
+		return failure.New(failure.UpstreamRefused, "upstream %s: %s", t.upstream.Name, refused.Message)
 	case errors.Is(err, upstream.ErrNotSent):
 		return failure.NotRun(failure.NoUpstream, "upstream %s: %v", t.upstream.Name, err)
 	default:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,6 +120,12 @@
 	upstream entity.Upstream
 }
 
+// refusalsProveNotRun reports whether a refusal of the upstream proves that it did
+// not run the request. Engines refuse before they start a generation.
+func (t target) refusalsProveNotRun() bool {
+	return t.pool.Kind != entity.KindPlain || t.pool.RefusalsProveNotRun
+}
+
 // acquire gets a permit in one of the pools of the version that the request is routed to.
 func (r *Relay) acquire(ctx context.Context, call *Call, exclude []string) (target, error) {
 	conf := r.Config()
--- a/internal/servicetext/parse.go
+++ b/internal/servicetext/parse.go
@@ -5,6 +5,7 @@
 // Fields that a text leaves out get these values:
 //
 //	pools[].fencing                      ignores
+//	pools[].refusals-prove-not-run       false
 //	pools[].limits.cold-requests         1
 //	pools[].limits.max-requests          32
 //	pools[].limits.memory-tokens         unlimited
--- a/internal/servicetext/sections.go
+++ b/internal/servicetext/sections.go
@@ -57,7 +57,7 @@
 
 var (
 	textFields     = []string{"version", "data-centres", "pools", "services", "accounts"}
-	poolFields     = []string{"name", "kind", "data-centre", "fencing", "limits", "upstreams"}
+	poolFields     = []string{"name", "kind", "data-centre", "fencing", "refusals-prove-not-run", "limits", "upstreams"}
 	limitFields    = []string{"cold-requests", "max-requests", "memory-tokens", "target-step"}
 	upstreamFields = []string{"name", "address", "leaving"}
 	serviceFields  = []string{"name", "depends-on", "delivery", "repeatable", "priority", "deadline", "versions", "rollout"}
@@ -118,6 +118,8 @@
 			t.centreUses = append(t.centreUses, reference{f, pool.DataCentre})
 		case "fencing":
 			pool.Fencing = entity.Fencing(t.oneOf(f, string(entity.FencingRefusesOld), string(entity.FencingIgnores)))
+		case "refusals-prove-not-run":
+			pool.RefusalsProveNotRun = t.boolean(f, false)
 		case "limits":
 			limits = f
 		case "upstreams":
