--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,321 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/upstream"
+)
+
+// reportMargin is added to the end of an order before a report counts as taken after it,
+// because the age of a report is known only to the length of a message.
+const reportMargin = time.Second
+
+// maxRetryFactor bounds the growth of the wait after failed orders.
+const maxRetryFactor = 16
+
+// copyKey is a model on an upstream; an empty model stands for the upstream's role.
+type copyKey struct{ upstream, model string }
+
+type modelKey struct{ pool, model string }
+
+// expectation is the state that an order should have led to, until a later report shows it.
+type expectation struct {
+	order  Order
+	open   bool      // no outcome yet
+	until  time.Time // when an open order is given up
+	closed time.Time // when the outcome came
+	failed bool
+}
+
+type retry struct {
+	at   time.Time
+	wait time.Duration
+}
+
+// Planner decides which engine loads which model in the pools that a daemon owns. It
+// keeps outstanding orders, dwell times and the pace of loads. Its decisions depend on
+// its settings and the arguments only. It is not safe for concurrent use; its caller
+// serialises access. A daemon that becomes owner starts with a new Planner.
+type Planner struct {
+	settings Settings
+	limiter  *rate.Limiter
+	began    time.Time
+	nextID   uint64
+	expected map[string]expectation // by upstream
+	loadedAt map[copyKey]time.Time
+	retries  map[copyKey]retry
+	surplus  map[modelKey]time.Time
+	lostAt   map[string]time.Time
+}
+
+// NewPlanner returns a planner without orders. It gives no order within MaxReportAge of
+// its start, so that orders of the previous owner show in the reports.
+func NewPlanner(settings Settings, now time.Time) *Planner {
+	return &Planner{
+		settings: settings, limiter: rate.NewLimiter(rate.Limit(settings.LoadsPerMinute/60), 1), began: now,
+		expected: map[string]expectation{}, loadedAt: map[copyKey]time.Time{}, retries: map[copyKey]retry{},
+		surplus: map[modelKey]time.Time{}, lostAt: map[string]time.Time{},
+	}
+}
+
+// SetRate changes the planner's part of the weight store's rate.
+func (p *Planner) SetRate(now time.Time, loadsPerMinute float64) {
+	p.settings.LoadsPerMinute = loadsPerMinute
+	p.limiter.SetLimitAt(now, rate.Limit(loadsPerMinute/60))
+}
+
+// Finished reports the outcome of an order; outcomes of unknown orders are ignored.
+func (p *Planner) Finished(now time.Time, id uint64, outcome Outcome) {
+	for name, e := range p.expected {
+		if e.order.ID != id || !e.open {
+			continue
+		}
+		key := copyKey{name, e.order.Model}
+		e.open, e.closed = false, now
+		switch outcome {
+		case Done:
+			delete(p.retries, key)
+		case NotSent:
+			delete(p.expected, name)
+			p.delay(key, now)
+			return
+		case Failed, Stale:
+			e.failed = true
+			p.delay(key, now)
+		case Unknown:
+			// The change may still happen, so that the expectation holds until a report comes.
+			p.delay(key, now)
+		}
+		p.expected[name] = e
+		return
+	}
+}
+
+func (p *Planner) delay(key copyKey, now time.Time) {
+	wait := p.settings.RetryAfter
+	if last, found := p.retries[key]; found {
+		wait = min(2*last.wait, maxRetryFactor*p.settings.RetryAfter)
+	}
+	p.retries[key] = retry{now.Add(wait), wait}
+}
+
+// Tick returns the orders that are due, at most one for each upstream.
+func (p *Planner) Tick(now time.Time, in Input) []Order {
+	p.expire(now, &in)
+	if now.Sub(p.began) < p.settings.MaxReportAge {
+		return nil
+	}
+	var orders []Order
+	names := slices.Sorted(slices.Values(in.Pools))
+	for i := range names {
+		// The first pool changes from tick to tick, so that no pool takes every load.
+		name := names[(i+int(p.nextID))%len(names)]
+		pool, found := in.Configuration.Pool(name)
+		if !found || pool.Kind == entity.KindPlain || in.Configuration.DataCentresOut[pool.DataCentre] {
+			continue
+		}
+		orders = append(orders, p.planPool(now, &in, &pool)...)
+	}
+	return orders
+}
+
+// expire forgets expectations that a later report has answered, and upstreams that are gone.
+func (p *Planner) expire(now time.Time, in *Input) {
+	for name, e := range p.expected {
+		state := in.States[name]
+		if e.open && now.After(e.until) {
+			e.open, e.closed = false, now
+			p.expected[name] = e
+			p.delay(copyKey{name, e.order.Model}, now)
+		}
+		restarted := state.Incarnation != "" && state.Incarnation != e.order.Incarnation && state.MeasuredAt.After(e.order.DecidedAt)
+		if restarted && e.open {
+			// The order is void, but it may still be on its way: the upstream stays busy.
+			e.failed = true
+			p.expected[name] = e
+		}
+		if !e.open && (restarted || state.MeasuredAt.After(e.closed.Add(reportMargin))) {
+			delete(p.expected, name)
+		}
+	}
+	gone := func(name string) bool { _, known := in.States[name]; return !known }
+	maps.DeleteFunc(p.loadedAt, func(k copyKey, _ time.Time) bool { return gone(k.upstream) })
+	maps.DeleteFunc(p.retries, func(k copyKey, _ retry) bool { return gone(k.upstream) })
+	maps.DeleteFunc(p.lostAt, func(name string, _ time.Time) bool { return gone(name) })
+	for name, state := range in.States {
+		if !state.Lost {
+			delete(p.lostAt, name)
+		} else if _, known := p.lostAt[name]; !known {
+			p.lostAt[name] = now
+		}
+	}
+}
+
+// node is an upstream as the planner sees it: its report with the expected effect of orders.
+type node struct {
+	entity.Upstream
+	state  State
+	models []string
+	usable bool // serves, or may be ordered to
+	free   bool // may get an order now
+	absent bool // lost for less than LostGrace; its copies still count while another one serves
+}
+
+func (p *Planner) nodes(now time.Time, in *Input, pool *entity.Pool) []node {
+	nodes := make([]node, 0, len(pool.Upstreams))
+	for _, u := range pool.Upstreams {
+		state, known := in.States[u.Name]
+		known = known && !state.MeasuredAt.IsZero()
+		n := node{Upstream: u, state: state, models: slices.Clone(state.Models)}
+		n.usable = known && !state.Lost && !state.Leaving && !u.Leaving
+		n.absent = known && state.Lost && !state.Leaving && !u.Leaving && now.Sub(p.lostAt[u.Name]) < p.settings.LostGrace
+		e, expected := p.expected[u.Name]
+		n.free = n.usable && !expected && now.Sub(state.MeasuredAt) <= p.settings.MaxReportAge
+		if expected && !e.failed {
+			n.models = apply(n.models, e.order)
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// apply returns the models after the order.
+func apply(models []string, o Order) []string {
+	switch {
+	case o.Kind == upstream.OrderLoad && !slices.Contains(models, o.Model):
+		return append(models, o.Model)
+	case o.Kind == upstream.OrderUnload:
+		return slices.DeleteFunc(models, func(m string) bool { return m == o.Model })
+	}
+	return models
+}
+
+func (p *Planner) planPool(now time.Time, in *Input, pool *entity.Pool) (orders []Order) {
+	nodes := p.nodes(now, in, pool)
+	usable := 0
+	for i := range nodes {
+		if nodes[i].usable {
+			usable++
+		}
+	}
+	plan := poolPlan{Planner: p, now: now, in: in, pool: pool, nodes: nodes}
+	plan.setRoles()
+	targets := targets(in, pool, usable, p.settings.Slack)
+	plan.noteSurplus(targets)
+	// Models without enough copies to survive the loss of one engine come before demand.
+	slices.SortStableFunc(targets, func(a, b target) int {
+		return cmp.Compare(min(plan.copies(a.model), a.least)-a.least, min(plan.copies(b.model), b.least)-b.least)
+	})
+	for _, t := range targets {
+		plan.load(t, targets)
+	}
+	plan.unloadUnrouted(targets)
+	return plan.orders
+}
+
+// poolPlan is the planning of one pool in one tick.
+type poolPlan struct {
+	*Planner
+	now    time.Time
+	in     *Input
+	pool   *entity.Pool
+	nodes  []node
+	orders []Order
+}
+
+// copies counts where a model is, or will be by the orders given. Copies on briefly absent
+// upstreams count only beside one that serves.
+func (p *poolPlan) copies(model string) int {
+	present, absent := 0, 0
+	for i := range p.nodes {
+		if n := &p.nodes[i]; (n.usable || n.absent) && slices.Contains(n.models, model) {
+			if n.usable {
+				present++
+			} else {
+				absent++
+			}
+		}
+	}
+	if present == 0 {
+		return 0
+	}
+	return present + absent
+}
+
+func (p *poolPlan) setRoles() {
+	role := p.settings.Roles[p.pool.Kind]
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if role != "" && n.free && n.state.Role != role && p.mayRetry(copyKey{n.Name, ""}) {
+			p.order(n, Order{Kind: upstream.OrderRole, Role: role, Reason: fmt.Sprintf("upstreams of kind %s have the role %s, not %q", p.pool.Kind, role, n.state.Role)})
+		}
+	}
+}
+
+// load gives orders until the model has its copies or no upstream, slot or load is left.
+func (p *poolPlan) load(t target, all []target) {
+	for have := p.copies(t.model); have < t.copies; have++ {
+		n := p.pickForLoad(t.model)
+		if n == nil {
+			p.makeRoom(t, all)
+			return
+		}
+		if !p.limiter.AllowN(p.now, 1) {
+			return
+		}
+		p.order(n, Order{Kind: upstream.OrderLoad, Model: t.model, Reason: fmt.Sprintf("%s needs %d copies and has %d", t.reason, t.copies, have)})
+		p.loadedAt[copyKey{n.Name, t.model}] = p.now
+	}
+}
+
+// pickForLoad returns the free upstream with the fewest models, warm ones first. Equal ones
+// are ordered by a hash, so that every owner makes the same choice and models spread.
+func (p *poolPlan) pickForLoad(model string) (best *node) {
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if !n.free || slices.Contains(n.models, model) || len(n.models) >= p.settings.ModelsPerUpstream || !p.mayRetry(copyKey{n.Name, model}) {
+			continue
+		}
+		if best == nil || compareForLoad(n, best, model) < 0 {
+			best = n
+		}
+	}
+	return best
+}
+
+func compareForLoad(a, b *node, model string) int {
+	if a.state.Cold != b.state.Cold {
+		if a.state.Cold {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(len(a.models), len(b.models)),
+		cmp.Compare(xxhash.Sum64String(a.Name+"\x00"+model), xxhash.Sum64String(b.Name+"\x00"+model)))
+}
+
+func (p *poolPlan) mayRetry(key copyKey) bool {
+	r, found := p.retries[key]
+	return !found || !p.now.Before(r.at)
+}
+
+// order marks the upstream as busy, so that it gets no second order until this one ended
+// and a report was taken after that.
+func (p *poolPlan) order(n *node, o Order) {
+	p.nextID++
+	o.ID, o.Pool, o.Upstream, o.Address, o.Incarnation = p.nextID, p.pool.Name, n.Name, n.Address, n.state.Incarnation
+	o.Fencing, o.DecidedAt = p.pool.Fencing, p.now
+	o.Token = Fence(p.in.Epoch, p.in.Configuration.Revision)
+	p.expected[n.Name] = expectation{order: o, open: true, until: p.now.Add(p.settings.OrderTimeout)}
+	n.free = false
+	n.models = apply(n.models, o)
+	p.orders = append(p.orders, o)
+}
--- a/internal/rollout/assign.go
+++ b/internal/rollout/assign.go
@@ -77,8 +77,8 @@
 	return "group-" + strconv.FormatUint(xxhash.Sum64String(account)%MaxRoutes, 10)
 }
 
-// nextStep returns the step after the given one; it is false after the last.
-func nextStep(step int) (int, bool) {
+// NextStep returns the step after the given one; it is false after the last.
+func NextStep(step int) (int, bool) {
 	i := slices.IndexFunc(Steps[:], func(s int) bool { return s > step })
 	if i < 0 {
 		return 0, false
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -187,7 +187,7 @@
 func (t *tester) progress(noTraffic bool) Verdict {
 	elapsed, inStep := t.now.Sub(t.rollout.StartedAt), t.now.Sub(t.rollout.StepAt)
 	i := stepIndex(t.rollout.Step)
-	if _, more := nextStep(t.rollout.Step); more && elapsed >= t.policy.FinishWithin {
+	if _, more := NextStep(t.rollout.Step); more && elapsed >= t.policy.FinishWithin {
 		return Verdict{Action: Undo, Reason: fmt.Sprintf("step %d had not passed when finish-within %v was over", t.rollout.Step, t.policy.FinishWithin)}
 	}
 	late := elapsed >= t.share(firstForcedShare+minDwellShare*float64(i))
@@ -213,7 +213,7 @@
 }
 
 func (t *tester) next(reason string) Verdict {
-	if step, more := nextStep(t.rollout.Step); more {
+	if step, more := NextStep(t.rollout.Step); more {
 		return Verdict{Action: Step, Step: step, Reason: reason}
 	}
 	return Verdict{Action: Finish, Reason: reason}
