Spread over upstreams of nearly equal load only

Two upstreams count as equal below 0.005 instead of 0.02 of load, and the step bound without pressure is 0.86 instead of 0.84 of the target. Ranking upstreams by the present step instead of the worst step of the horizon changed nothing and was not kept.

--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -20,7 +20,7 @@
 	// all those that also process a prompt, so that 95 in 100 stay below the
 	// target. The tight share applies while requests wait most of the time: then
 	// a larger batch adds little throughput and only lengthens the steps.
-	easyShare  = 0.84
+	easyShare  = 0.86
 	tightShare = 0.78
 	// pressureTime is the time constant with which the share of time with waiting
 	// requests is averaged, and fullPressure the share from which on it is lasting.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,7 +14,7 @@
 	// capacity, that is accepted for the sake of a cached prefix.
 	AffinityMargin = 0.05
 	// equalLoad is the difference below which two upstreams count as equally loaded.
-	equalLoad = 0.02
+	equalLoad = 0.005
 )
 
 // Candidate is an upstream with headroom.
