--- a/internal/admission/predictor.go
+++ b/internal/admission/predictor.go
@@ -42,6 +42,16 @@
 // Mean returns the expected output length.
 func (l *Lengths) Mean() float64 { return l.mean }
 
+// Quantile returns the length that an output does not exceed with the given probability.
+func (l *Lengths) Quantile(probability float64) float64 {
+	for b := range bucketCount {
+		if float64(l.tails[b+1]) <= 1-probability {
+			return lowerBound(b + 1)
+		}
+	}
+	return lowerBound(bucketCount)
+}
+
 // Alive returns the probability that a request that has produced some tokens,
 // and may produce at most limit (0 means no limit), produces more than ahead further tokens.
 func (l *Lengths) Alive(produced, limit, ahead int) float64 {
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -84,6 +84,9 @@
 // Level returns the number of requests that wait with a priority.
 func (q *Queue[T]) Level(priority int) int { return q.levels[clamp(priority)].count }
 
+// LevelCost returns the expected work that waits with a priority.
+func (q *Queue[T]) LevelCost(priority int) float64 { return q.levels[clamp(priority)].cost }
+
 // Contains reports whether a request waits.
 func (q *Queue[T]) Contains(id string) bool { return q.index[id] != nil }
 
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -18,10 +18,16 @@
 	// easyShare and tightShare are the parts of the target step that the predicted
 	// mean step may take. The rest covers the variation of single steps, most of
 	// all those that also process a prompt, so that 95 in 100 stay below the
-	// target. The tight share applies while requests wait most of the time: then
-	// a larger batch adds little throughput and only lengthens the steps.
+	// target. The tight share applies while requests wait most of the time, because
+	// a larger batch then adds little throughput and only lengthens the steps. It
+	// does not apply while a request may miss its finishing time.
 	easyShare  = 0.86
 	tightShare = 0.78
+	// longQuantile is the share of outputs that are shorter than the one for which
+	// the finishing time of a batch leaves room.
+	longQuantile = 0.99
+	// lateMemory is how long the bound stays loose after a late request was seen.
+	lateMemory = time.Second
 	// pressureTime is the time constant with which the share of time with waiting
 	// requests is averaged, and fullPressure the share from which on it is lasting.
 	pressureTime = 10 * time.Second
@@ -86,7 +92,7 @@
 		if len(open) == 0 {
 			return fairqueue.Stop
 		}
-		u := s.pick(open, r, s.pressure.stepShare())
+		u := s.pick(open, r, s.stepShare(now, it))
 		if u == nil {
 			if passed++; passed >= scanDepth || now.Sub(it.Enqueued) >= overtakeTime {
 				return fairqueue.Stop
@@ -291,7 +297,28 @@
 	p.at, p.waiting = now, waiting
 }
 
-// stepShare is the part of the target step that may be filled now.
-func (p *pressure) stepShare() float64 {
-	return easyShare - (easyShare-tightShare)*min(p.share/fullPressure, 1)
+// stepShare is the part of the target step that a waiting request may fill.
+func (s *State) stepShare(now time.Time, it *fairqueue.Item[*Request]) float64 {
+	if s.late(now, it) {
+		s.lateUntil = now.Add(lateMemory)
+	}
+	if now.Before(s.lateUntil) {
+		// The others get the same bound, or late requests would crowd them out.
+		return easyShare
+	}
+	return easyShare - (easyShare-tightShare)*min(s.pressure.share/fullPressure, 1)
+}
+
+// late reports whether a request may miss its finishing time: the requests of its
+// priority must be granted first, and the last of them may be a long one.
+func (s *State) late(now time.Time, it *fairqueue.Item[*Request]) bool {
+	if it.FinishBy.IsZero() {
+		return false
+	}
+	tokens := s.lengths.Lengths(keyOf(it.Value)).Quantile(longQuantile)
+	if m := it.Value.MaxTokens; m > 0 {
+		tokens = min(tokens, float64(m))
+	}
+	run := time.Duration(tokens * float64(s.pool.Limits.TargetStep))
+	return it.FinishBy.Sub(now) < s.throughput.wait(s.queue.LevelCost(it.Priority))+run
 }
--- a/internal/pool/decide_test.go
+++ b/internal/pool/decide_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattanscale/rattanscale/internal/fairqueue"
 	"github.com/rattanscale/rattanscale/internal/quarantine"
 )
 
@@ -231,3 +232,21 @@
 	}
 	require.Equal(t, play(), play())
 }
+
+// While a batch may miss its finishing time, lasting pressure must not lower the
+// bound that keeps its engines busy.
+func TestLateBatchLoosensTheStepBound(t *testing.T) {
+	s, now := warmState(1)
+	s.pressure.share = 1
+	batch := request(1)
+	batch.MaxTokens, batch.FinishBy = 1000, now.Add(time.Hour)
+	s.Acquire(now, batch)
+	var shares []float64
+	for _, at := range []time.Time{now, batch.FinishBy.Add(-time.Minute), batch.FinishBy.Add(-50 * time.Second)} {
+		s.queue.Scan(at, func(it *fairqueue.Item[*Request]) fairqueue.Verdict {
+			shares = append(shares, s.stepShare(at, it))
+			return fairqueue.Stop
+		})
+	}
+	require.Equal(t, []float64{tightShare, tightShare, easyShare}, shares)
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -46,6 +46,7 @@
 	// meanOutput is the mean expected output of the requests granted recently.
 	meanOutput   float64
 	runningNoted time.Time
+	lateUntil    time.Time
 	suspects     []Request
 	isolation    isolation
 	lengths      *admission.Predictor
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -243,16 +244,15 @@
 	return e
 }
 
-// evict drops the entry that expires first.
+// evict drops the eighth of the entries that expires first.
 func (t *Table) evict() {
-	var victim uint64
-	var oldest *entry
-	for f, e := range t.entries {
-		if oldest == nil || e.suspect.Before(oldest.suspect) || e.suspect.Equal(oldest.suspect) && f < victim {
-			victim, oldest = f, e
-		}
+	fingerprints := slices.Collect(maps.Keys(t.entries))
+	slices.SortFunc(fingerprints, func(a, b uint64) int {
+		return cmp.Or(t.entries[a].suspect.Compare(t.entries[b].suspect), cmp.Compare(a, b))
+	})
+	for _, f := range fingerprints[:len(fingerprints)/8+1] {
+		delete(t.entries, f)
 	}
-	delete(t.entries, victim)
 }
 
 func (t *Table) expire(now time.Time) {
