--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -94,7 +94,21 @@
 			count = max(count, u.report.Running+u.grantsSince(u.reportTaken))
 		}
 	}
-	return limit - reserve - count
+	return min(limit-count, s.unconfirmed(u)) - reserve
+}
+
+// unconfirmed returns how many more requests an upstream may receive before its
+// next report. It may have turned cold right after the last one, so the live
+// permits granted since then must stay within the cold limit.
+func (s *State) unconfirmed(u *upstream) int {
+	left := max(s.pool.Limits.ColdRequests, 1)
+	if !s.needsReports() || !u.hasReport {
+		return u.tracker.Limit()
+	}
+	for i := len(u.permits) - 1; i >= 0 && !u.permits[i].granted.Before(u.reportTaken); i-- {
+		left--
+	}
+	return left
 }
 
 // needsReports tells whether the upstreams of the pool send load reports.
