Count permits that may still be on their way when a report was taken

A request granted before an engine turned cold may arrive after it. The property test now counts by arrival and found one request too many; permits without a sign of arrival by the time of the report count as well.

--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -105,8 +105,14 @@
 	if !s.needsReports() || !u.hasReport {
 		return u.tracker.Limit()
 	}
-	for i := len(u.permits) - 1; i >= 0 && !u.permits[i].granted.Before(u.reportTaken); i-- {
-		left--
+	for i := len(u.permits) - 1; i >= 0; i-- {
+		p := u.permits[i]
+		if p.granted.Add(dispatchTimeout).Before(u.reportTaken) {
+			break // permits are in the order of their grants
+		}
+		if p.started.IsZero() || !p.started.Before(u.reportTaken) {
+			left--
+		}
 	}
 	return left
 }
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -16,6 +16,7 @@
 	request    Request
 	authority  *State // whom the holder reports to
 	granted    time.Time
+	sent       time.Time
 	dispatched bool
 	onEngine   bool
 	tokens     int
@@ -121,7 +122,7 @@
 	count, alone := 0, 0
 	for _, r := range w.runs {
 		if r.permit.Upstream == p.Upstream && r.occupies(w.now) {
-			if since, cold := w.coldSince[p.Upstream]; cold && !r.granted.Before(since) {
+			if since, cold := w.coldSince[p.Upstream]; cold && (!r.dispatched || !r.sent.Before(since)) {
 				count++
 			}
 			if r.permit.Alone && s.permits[r.permit.ID] != nil {
@@ -153,7 +154,7 @@
 
 func (w *world) dispatch() {
 	if r := w.pick(func(r *run) bool { return !r.holderGone && !r.dispatched && r.occupies(w.now) }); r != nil {
-		r.dispatched, r.onEngine = true, true
+		r.dispatched, r.onEngine, r.sent = true, true, w.now
 	}
 }
 
@@ -204,7 +205,7 @@
 	if r := w.pick(func(r *run) bool { return !r.holderGone }); r != nil {
 		r.holderGone = true
 		if !r.dispatched && rapid.Bool().Draw(w.t, "dispatched-before") && r.occupies(w.now) {
-			r.onEngine = true
+			r.onEngine, r.sent = true, w.now
 		}
 		r.dispatched = true
 	}
