--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test bench demo fmt
+.PHONY: build test bench capacity demo fmt
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -16,6 +16,10 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# capacity prints the slopes on which docs/CAPACITY.md rests.
+capacity:
+	$(GO) test -run '^$$' -bench . -benchtime 1x ./internal/capacity
+
 demo: build
 	bash demo/run.sh
 
--- /dev/null
+++ b/internal/capacity/measure_test.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/metrics"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// reading is one measured quantity at one size.
+type reading struct {
+	unit  string
+	value float64
+}
+
+// measured holds the benchmarks that have run: the testing package repeats each
+// with growing b.N, and one measurement at every size is enough.
+var measured = map[string]bool{}
+
+// slopes measures at each size and reports the fitted slope and intercept of
+// every quantity. per names what the size counts.
+func slopes(b *testing.B, per string, sizes []int, measure func(size int) []reading) {
+	b.Helper()
+	defer b.ReportMetric(0, "ns/op")
+	if measured[b.Name()] {
+		return
+	}
+	measured[b.Name()] = true
+	var x []float64
+	var units []string
+	y := map[string][]float64{}
+	for _, size := range sizes {
+		x = append(x, float64(size))
+		for _, r := range measure(size) {
+			if y[r.unit] == nil {
+				units = append(units, r.unit)
+			}
+			y[r.unit] = append(y[r.unit], r.value)
+		}
+	}
+	for _, unit := range units {
+		var points []string
+		for i, v := range y[unit] {
+			points = append(points, fmt.Sprintf("%d: %.4g", sizes[i], v))
+		}
+		b.Logf("%-14s per %-10s %s  (%s)", unit, per, Fit(x, y[unit]), strings.Join(points, ", "))
+	}
+}
+
+// cpuRounds is the number of rounds of which cpuTime returns the fastest; the
+// others contain more work of the garbage collector and of other processes.
+const (
+	cpuRounds = 5
+	cpuRound  = 40 * time.Millisecond
+)
+
+// cpuTime returns the processor time of one call of f in nanoseconds, over all
+// threads of the process.
+func cpuTime(f func()) float64 {
+	f()
+	best := 0.0
+	for range cpuRounds {
+		calls, began, used := 0, time.Now(), processTime()
+		for calls == 0 || time.Since(began) < cpuRound {
+			f()
+			calls++
+		}
+		if ns := float64(processTime()-used) / float64(calls); best == 0 || ns < best {
+			best = ns
+		}
+	}
+	return best
+}
+
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heapOf returns the live heap bytes of what build returns.
+func heapOf(build func() any) float64 {
+	before := liveHeap()
+	kept := build()
+	after := liveHeap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC() // the second cycle frees what finalizers and pools held in the first
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// peakHeap returns the highest heap size while f runs, above that before it.
+func peakHeap(f func()) float64 {
+	before := liveHeap()
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	stop, done := make(chan struct{}), make(chan uint64)
+	go func() {
+		var peak uint64
+		for {
+			select {
+			case <-stop:
+				done <- peak
+				return
+			case <-time.After(time.Millisecond):
+			}
+			metrics.Read(sample)
+			peak = max(peak, sample[0].Value.Uint64())
+		}
+	}()
+	f()
+	close(stop)
+	return float64(max(<-done, before)) - float64(before)
+}
