--- /dev/null
+++ b/internal/capacity/messages_test.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/membership"
+	"github.com/rattanscale/rattanscale/internal/peer"
+	"github.com/rattanscale/rattanscale/internal/permit"
+	"github.com/rattanscale/rattanscale/internal/pool"
+	"github.com/rattanscale/rattanscale/internal/quarantine"
+	"github.com/rattanscale/rattanscale/internal/rollout"
+	"github.com/rattanscale/rattanscale/internal/timeline"
+)
+
+const (
+	// farEpoch in a call of Heartbeat leaves the view out.
+	farEpoch = ^uint64(0)
+	// fullRevision is a revision after a year of 55,000 changes a day.
+	fullRevision = 20_000_000
+	hostName     = "praha-1-host-0001"
+	requestID    = "01JABCDEFGHJKMNPQRSTVWXYZ0"
+)
+
+var someTime = time.Unix(1_790_000_000, 123456789).UTC()
+
+func identity(n int) membership.Identity {
+	return membership.Identity{Name: fmt.Sprintf("praha-%d-host-%04d", n%4+1, n), Incarnation: uint64(someTime.UnixNano()) + uint64(n)}
+}
+
+// cell returns the tracker of member self of a cell of n members that has heard all others.
+func cell(n, self int, now time.Time) *membership.Tracker {
+	view := membership.View{Epoch: 1_000}
+	for i := range n {
+		id := identity(i)
+		m := membership.Member{
+			Identity: id, DataCentre: fmt.Sprint("praha-", i%4+1), PeerAddress: fmt.Sprintf("10.1.2.%d:7003", i),
+			CallerAddress: fmt.Sprintf("10.1.2.%d:7001", i), OperatorAddress: fmt.Sprintf("10.1.2.%d:7002", i),
+		}
+		view = membership.View{Epoch: view.Epoch, Members: append(view.Members, m)}
+	}
+	view = sorted(view)
+	t := membership.NewTracker("cell", identity(self), now)
+	t.SetApplied(now, fullRevision)
+	t.ObserveStoreRead(now, now, view, fullRevision)
+	t.SetLocal(now, membership.Local{Streams: 334})
+	for i := range n {
+		if i != self {
+			answer := membership.Heartbeat{Identity: identity(i), Revision: fullRevision, Epoch: view.Epoch, Ready: true, StoreAge: 412, Head: fullRevision}
+			t.ObserveHeartbeat(now, now, answer)
+		}
+	}
+	return t
+}
+
+// sorted puts the members into the order of names by joining them one by one.
+func sorted(view membership.View) membership.View {
+	out := membership.View{}
+	for _, m := range view.Members {
+		out = out.Join(m)
+	}
+	return membership.View{Epoch: view.Epoch, Floor: fullRevision, Members: out.Members}
+}
+
+// BenchmarkHeartbeatCall measures member.heartbeat with the trackers of both ends.
+func BenchmarkHeartbeatCall(b *testing.B) {
+	slopes(b, "member", []int{8, 16, 32, 64}, func(n int) []reading {
+		now := time.Now()
+		asking, answering := cell(n, 0, now), cell(n, 1, now)
+		w := newWire(b, func(s *peer.Server) {
+			peer.Register(s, "member.heartbeat", func(_ context.Context, h membership.Heartbeat) (membership.Heartbeat, error) {
+				answering.ObserveRequest(time.Now(), h)
+				return answering.Heartbeat(time.Now(), h.Epoch), nil
+			})
+		})
+		return w.exchange(b, func() error {
+			sent := time.Now()
+			asking.ObserveStoreRead(sent, sent, membership.View{}, fullRevision)
+			answering.ObserveStoreRead(sent, sent, membership.View{}, fullRevision)
+			var answer membership.Heartbeat
+			err := w.client.Call(context.Background(), w.address, "member.heartbeat", asking.Heartbeat(sent, farEpoch), &answer)
+			asking.ObserveHeartbeat(time.Now(), sent, answer)
+			return err
+		})
+	})
+}
+
+func statusOf(upstreams int) permit.StatusResult {
+	if upstreams == 0 {
+		return permit.StatusResult{}
+	}
+	s := permit.Status{Pool: "model-0001-praha-1", Owner: hostName, Queued: 12}
+	for i := range upstreams {
+		s.Upstreams = append(s.Upstreams, permit.UpstreamStatus{
+			Name: fmt.Sprintf("e%05d", i), Incarnation: "5f2c9a1b7d3e4f60", Reachable: true, Running: 87, Limit: 96,
+			Step: 48_123_456, Models: []string{"oldtown-7b"},
+		})
+	}
+	return permit.StatusResult{Pools: []permit.Status{s}}
+}
+
+func BenchmarkStatusCall(b *testing.B) {
+	slopes(b, "upstream", []int{0, 4, 8, 16, 32}, func(n int) []reading {
+		return message(b, permit.MethodStatus, struct{}{}, statusOf(n))
+	})
+}
+
+func runningPermit(n int) permit.Running {
+	id := pool.PermitIDBase(1_000, false) + uint64(n)
+	return permit.Running{
+		Permit: pool.Permit{
+			ID: id, RequestID: requestID, Upstream: fmt.Sprintf("e%05d", n%4), Incarnation: "5f2c9a1b7d3e4f60", Expires: someTime,
+		},
+		Fingerprint: 0x9e3779b97f4a7c15 + uint64(n), Service: "service-0001", Version: "v1", Account: fmt.Sprintf("account-%05d", n), PromptTokens: 1234,
+		Progress: pool.Progress{PermitID: id, Tokens: 345, StepTime: 48_123_456, FirstToken: 412_345_678},
+	}
+}
+
+func BenchmarkProgressCall(b *testing.B) {
+	slopes(b, "permit", []int{4, 16, 64, 256}, func(n int) []reading {
+		p := permit.ProgressParams{Pool: "model-0001-praha-1", Role: permit.RoleOwner, Holder: hostName}
+		for i := range n {
+			p.Running = append(p.Running, runningPermit(i))
+		}
+		return message(b, permit.MethodProgress, p, struct{}{})
+	})
+}
+
+// BenchmarkFinishedCall measures the part of a digest that reports finished requests.
+func BenchmarkFinishedCall(b *testing.B) {
+	slopes(b, "finished", []int{1, 4, 16, 64}, func(n int) []reading {
+		p := permit.ProgressParams{Pool: "model-0001-praha-1", Role: permit.RoleOwner, Holder: hostName}
+		for i := range n {
+			p.Finished = append(p.Finished, permit.Finished{PermitID: runningPermit(i).Permit.ID, Upstream: "e00001", Tokens: 378})
+		}
+		return message(b, permit.MethodProgress, p, struct{}{})
+	})
+}
+
+// BenchmarkAcquireCall measures pool.acquire as a function of the excluded
+// upstreams; a first attempt excludes none.
+func BenchmarkAcquireCall(b *testing.B) {
+	slopes(b, "excluded", []int{0, 1, 2, 3}, func(n int) []reading {
+		p := permit.AcquireParams{Pool: "model-0001-praha-1", Role: permit.RoleOwner, Holder: hostName, Wait: 2 * time.Second, Request: pool.Request{
+			ID: requestID, Fingerprint: 0x9e3779b97f4a7c15, Service: "service-0001", Version: "v1", Account: "account-00001", Weight: 3,
+			MaxQueued: 100, Priority: 5, PromptTokens: 1234, MaxTokens: 4096, PrefixHash: 0x9e3779b97f4a7c15, Deadline: someTime, FinishBy: someTime,
+		}}
+		for i := range n {
+			p.Request.Exclude = append(p.Request.Exclude, fmt.Sprintf("e%05d", i))
+		}
+		granted := runningPermit(0).Permit
+		return message(b, permit.MethodAcquire, p, permit.AcquireResult{Permit: &granted, Waited: 123_456})
+	})
+}
+
+// evidenceMessage has the form of the parameters of rollout.evidence.
+type evidenceMessage struct {
+	Rollout string         `json:"rollout"`
+	Report  rollout.Report `json:"report"`
+}
+
+// evidenceReport returns a report with n routes and the given outcomes for each
+// route and version, whose latencies spread over a factor of four.
+func evidenceReport(n, outcomes int) rollout.Report {
+	c := rollout.NewCounter(hostName, "1790000000123456789")
+	for route := range n {
+		for i := range outcomes {
+			spread := time.Duration(100+300*i/outcomes) * time.Millisecond
+			for _, onNew := range []bool{false, true} {
+				c.Record(25, fmt.Sprintf("account-%05d", route), onNew, rollout.Outcome{FirstToken: 2 * spread, MeanStep: spread / 8})
+			}
+		}
+	}
+	return c.Report()
+}
+
+func BenchmarkEvidenceCall(b *testing.B) {
+	slopes(b, "route", []int{4, 8, 16, 32}, func(n int) []reading {
+		return message(b, "rollout.evidence", evidenceMessage{requestID, evidenceReport(n, 20)}, struct{}{})
+	})
+}
+
+func BenchmarkDeltaCall(b *testing.B) {
+	slopes(b, "entry", []int{1, 4, 16, 64}, func(n int) []reading {
+		var entries []entity.Change
+		for i := range n {
+			entries = append(entries, smallChange(fullRevision+uint64(i)))
+		}
+		return message(b, "config.delta", entries, struct{}{})
+	})
+}
+
+// BenchmarkTextDeltaCall measures an entry that carries a service text.
+func BenchmarkTextDeltaCall(b *testing.B) {
+	slopes(b, "upstream", []int{1000, 2000, 4000, 8000}, func(n int) []reading {
+		change := smallChange(fullRevision)
+		change.Kind, change.Text = entity.ChangeApply, serviceText(textSize{pools: 100, upstreamsEach: n / 100, services: 1, accounts: 1})
+		return message(b, "config.delta", []entity.Change{change}, struct{}{})
+	})
+}
+
+func BenchmarkSuspectCall(b *testing.B) {
+	slopes(b, "notice", []int{8, 16, 32, 64}, func(n int) []reading {
+		var p permit.SuspectParams
+		for i := range n {
+			p.Notices = append(p.Notices, quarantine.Notice{Fingerprint: 0x9e3779b97f4a7c15 + uint64(i), Losses: 1})
+		}
+		return message(b, permit.MethodSuspect, p, struct{}{})
+	})
+}
+
+func timelineEvent(r *timeline.Recorder, n int) {
+	r.Record("request.sent", fmt.Sprintf("01JABCDEFGHJKMN%011d", n), timeline.Attr("upstream", "e00001"), timeline.Attr("incarnation", "5f2c9a1b7d3e4f60"))
+}
+
+func BenchmarkTimelineCall(b *testing.B) {
+	slopes(b, "event", []int{100, 200, 400, 800}, func(n int) []reading {
+		r := timeline.NewRecorder(hostName, timeline.NewClock(time.Now), n)
+		for i := range n {
+			timelineEvent(r, i)
+		}
+		return message(b, "timeline.read", timeline.Filter{Limit: n}, r.Read(timeline.Filter{}))
+	})
+}
