--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -83,7 +83,7 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// heapOf returns the live heap bytes of what build returns.
+// heapOf returns the bytes of live heap and stacks of what build returns.
 func heapOf(build func() any) float64 {
 	before := liveHeap()
 	kept := build()
@@ -97,7 +97,7 @@
 	runtime.GC() // the second cycle frees what finalizers and pools held in the first
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
+	return stats.HeapAlloc + stats.StackInuse
 }
 
 // peakHeap returns the highest heap size while f runs, above that before it.
