--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -29,6 +29,14 @@
 	// throughputWindow is the interval over which the rate of grants is measured.
 	throughputWindow = time.Second
 	throughputWeight = 0.2
+	// runningInterval is the interval at which requests in progress are counted.
+	runningInterval = time.Second
+	// outputWeight averages the expected output over about 50 grants.
+	outputWeight = 0.02
+	// longOutput is the multiple of the mean expected output from which on a
+	// request avoids cold upstreams while a warm one may serve it. Cold upstreams
+	// become warm by completed requests, and every step on them is slow.
+	longOutput = 1.5
 )
 
 // Decide returns what must be done now: grants, refusals and cancellations.
@@ -58,6 +66,7 @@
 
 // grantWaiting grants waiting requests in fair order while some upstream has room.
 func (s *State) grantWaiting(now time.Time) {
+	s.noteRunning(now)
 	open := s.open(now)
 	passed := 0
 	s.queue.Scan(now, func(it *fairqueue.Item[*Request]) fairqueue.Verdict {
@@ -95,61 +104,117 @@
 	s.pressure.update(now, s.queue.Len() > 0)
 }
 
+// noteRunning lets the predicted lengths take account of the requests in progress.
+func (s *State) noteRunning(now time.Time) {
+	if now.Sub(s.runningNoted) < runningInterval {
+		return
+	}
+	s.runningNoted = now
+	s.lengths.ResetRunning()
+	for _, u := range s.upstreams {
+		for _, p := range u.permits {
+			if p.tokens > 0 {
+				s.lengths.Running(keyOf(&p.request), p.tokens)
+			}
+		}
+		u.stale = true
+	}
+}
+
 // open returns the upstreams that may receive a request, in the order of their names.
 func (s *State) open(now time.Time) []*upstream {
 	if s.queue.Len() == 0 {
 		return nil
 	}
-	var out []*upstream
+	out := s.openBuffer[:0]
 	for _, u := range s.upstreams {
 		if u != s.isolation.upstream && s.headroom(now, u) > 0 {
 			u.refresh(s.lengths)
 			out = append(out, u)
 		}
 	}
+	s.openBuffer = out
 	return out
 }
 
+// load is a share of an upstream's memory and of its target step.
+type load struct {
+	memory, step float64
+}
+
+// footprint is the size of a request for admission.
+type footprint struct {
+	prompt int
+	output float64
+}
+
+// covers reports whether a request of the other size needs at least as much.
+func (f footprint) covers(o footprint) bool {
+	return f.output > 0 && o.prompt >= f.prompt && o.output >= f.output
+}
+
 // pick returns the upstream for a request, or nil when it fits nowhere now.
 func (s *State) pick(open []*upstream, r *Request, stepShare float64) *upstream {
+	lengths := s.lengths.Lengths(keyOf(r))
+	size := footprint{r.PromptTokens, lengths.Remaining(0, r.MaxTokens)}
+	long := size.output > longOutput*s.meanOutput
+	warm := long && slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.tracker.Awaiting() && s.mayServe(u, r) })
 	var add admission.Profile
-	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, s.lengths.Lengths(keyOf(r)))
-	candidates := make([]routing.Candidate, 0, len(open))
-	fitting := make([]*upstream, 0, len(open))
+	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, lengths)
+	s.candidates, s.fitting = s.candidates[:0], s.fitting[:0]
+	lowest := math.Inf(1)
 	for _, u := range open {
-		if slices.Contains(r.Exclude, u.name) {
+		if !s.mayServe(u, r) || warm && u.tracker.Awaiting() || u.rejected.covers(size) {
 			continue
 		}
-		load, fits := s.load(u, &add, stepShare)
-		if !fits {
+		share := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
+		if max(share, u.base.memory, u.base.step/stepShare) > lowest+routing.AffinityMargin {
 			continue
 		}
+		l := s.predict(u, &add)
+		share = max(share, l.memory, l.step/stepShare)
+		if max(l.memory, l.step/stepShare) > 1 && u.running() > 0 {
+			u.rejected = size
+			continue
+		}
+		lowest = min(lowest, share)
 		cached := u.prefixes != nil && u.prefixes.Holds(r.PrefixHash)
-		candidates = append(candidates, routing.Candidate{Name: u.name, Load: load, Cached: cached})
-		fitting = append(fitting, u)
+		s.candidates = append(s.candidates, routing.Candidate{Name: u.name, Load: share, Cached: cached})
+		s.fitting = append(s.fitting, u)
 	}
-	i := routing.Pick(candidates, s.routingKey(r))
+	i := routing.Pick(s.candidates, s.routingKey(r))
 	if i < 0 {
 		return nil
 	}
-	return fitting[i]
+	return s.fitting[i]
 }
 
-// load predicts an upstream's load with one more request, as a share of its
-// capacity, and whether the request fits. An empty upstream takes any request.
-func (s *State) load(u *upstream, add *admission.Profile, stepShare float64) (float64, bool) {
-	limits := &s.pool.Limits
-	load := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
-	fits := true
-	if limits.MemoryTokens > 0 {
-		share := u.profile.PeakWith(add, s.sigmas) / float64(limits.MemoryTokens)
-		load, fits = max(load, share), share <= 1
+// predict returns an upstream's load with one more request. An empty upstream
+// takes any request, so the caller decides whether the request fits.
+func (s *State) predict(u *upstream, add *admission.Profile) load {
+	if u.base == (load{}) {
+		u.base = s.share(u, &admission.Profile{})
 	}
-	if fits && limits.TargetStep > 0 && s.needsReports() {
-		share := float64(u.model.Worst(&u.profile, add)) / (stepShare * float64(limits.TargetStep))
-		load, fits = max(load, share), share <= 1
+	return s.share(u, add)
+}
+
+func (s *State) share(u *upstream, add *admission.Profile) load {
+	var l load
+	if m := s.pool.Limits.MemoryTokens; m > 0 {
+		l.memory = u.profile.PeakWith(add, s.sigmas) / float64(m)
+	}
+	if t := s.pool.Limits.TargetStep; t > 0 && s.needsReports() {
+		l.step = float64(u.model.Worst(&u.profile, add)) / float64(t)
+	}
+	return l
+}
+
+// noteOutput keeps the mean expected output of the requests granted recently.
+func (s *State) noteOutput(tokens float64) {
+	if s.meanOutput == 0 {
+		s.meanOutput = tokens
 	}
-	return load, fits || u.running() == 0
+	s.meanOutput += outputWeight * (tokens - s.meanOutput)
 }
 
 // grant gives a permit and charges the upstream with it.
@@ -162,9 +227,11 @@
 		request: *r, granted: now, expected: s.cost(r),
 	}
 	s.nextID++
+	s.noteOutput(p.expected - float64(r.PromptTokens))
 	s.add(u, p)
 	u.notePrefix(r.PrefixHash)
 	u.profile.Add(p.load(), s.lengths.Lengths(keyOf(r)))
+	u.changed()
 	s.pending = append(s.pending, Grant{Permit: p.Permit})
 	return p
 }
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -35,16 +35,26 @@
 	requests  map[string]*permit
 	oldest    *permit
 	newest    *permit
-	nextID    uint64
-	sigmas    float64
+	// cancelling holds the permits whose cancellation is not confirmed.
+	cancelling []*permit
+	nextID     uint64
+	sigmas     float64
 
 	queue      *fairqueue.Queue[*Request]
 	throughput throughput
 	pressure   pressure
-	suspects   []Request
-	isolation  isolation
-	lengths    *admission.Predictor
-	quarantine *quarantine.Table
+	// meanOutput is the mean expected output of the requests granted recently.
+	meanOutput   float64
+	runningNoted time.Time
+	suspects     []Request
+	isolation    isolation
+	lengths      *admission.Predictor
+	quarantine   *quarantine.Table
+
+	// openBuffer, candidates and fitting are reused by decisions.
+	openBuffer []*upstream
+	candidates []routing.Candidate
+	fitting    []*upstream
 
 	pending []Command
 	notices []quarantine.Notice
@@ -202,9 +212,12 @@
 	if s.out {
 		return false
 	}
-	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
-		return !u.leaving && !u.removed && !u.report.Leaving && !slices.Contains(r.Exclude, u.name)
-	})
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return s.mayServe(u, r) })
+}
+
+// mayServe reports whether an upstream takes new work and the request may run on it.
+func (s *State) mayServe(u *upstream, r *Request) bool {
+	return !u.leaving && !u.removed && !u.report.Leaving && !slices.Contains(r.Exclude, u.name)
 }
 
 // cost is the expected work of a request, in tokens.
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -43,17 +45,21 @@
 	current Fault
 	changed chan struct{} // closed when the fault changes
 	broken  chan struct{} // closed when open connections must be reset
-	extra   func(Fault) bool
+	// extra sees every fault except reset and reports whether it handles the kind.
+	extra func(Fault) bool
+	// loses tells to which requests lose-answer applies.
+	loses func(*http.Request) bool
 }
 
 // newFaultPlan returns a plan without a fault. The function extra handles the
-// kinds that only one stand-in knows and reports whether it knows the kind.
+// kinds that only one stand-in knows; it may be nil.
 func newFaultPlan(extra func(Fault) bool) *faultPlan {
 	if extra == nil {
 		extra = func(Fault) bool { return false }
 	}
 	return &faultPlan{
 		current: Fault{Kind: FaultNone}, changed: make(chan struct{}), broken: make(chan struct{}), extra: extra,
+		loses: func(*http.Request) bool { return true },
 	}
 }
 
@@ -63,9 +69,8 @@
 	case FaultReset:
 		p.breakConnections()
 		return true
-	case FaultNone:
+	case FaultNone, FaultDown, FaultSlow, FaultLoseAnswer, FaultFreeze:
 		p.extra(f)
-	case FaultDown, FaultSlow, FaultLoseAnswer, FaultFreeze:
 	default:
 		return p.extra(f)
 	}
@@ -147,10 +152,13 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !p.hold(r.Context()) {
+		// The server notices that the client is gone only once the body was read.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil || !p.hold(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
-		if p.takeLostAnswer() {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if p.loses(r) && p.takeLostAnswer() {
 			next.ServeHTTP(&discardWriter{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		}
