--- a/demo/run.sh
+++ b/demo/run.sh
@@ -46,7 +46,8 @@
 
 port=${DEMO_PORT:-18400}
 standin table table
-standin hostlist hostlist -hosts "h1=127.0.0.1:$((port + 2)),h2=127.0.0.1:$((port + 12)),h3=127.0.0.1:$((port + 22))"
+host() { printf '{"name":"%s","address":"127.0.0.1:%d"}' "$1" "$2"; }
+standin hostlist hostlist -hosts "[$(host h1 $((port + 2))),$(host h2 $((port + 12))),$(host h3 $((port + 22)))]"
 standin e1 engine -base-step 5ms
 standin e2 engine -base-step 5ms
 standin p1 plain
--- a/internal/standin/enginestep.go
+++ b/internal/standin/enginestep.go
@@ -178,18 +178,18 @@
 	e.history = slices.Delete(e.history, 0, keep)
 }
 
-// report returns the state as it was one lag ago.
+// report returns the state as it was one lag ago. Without changes since then
+// the report is still no older than the lag.
 func (e *Engine) report() upstream.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.trimHistory(now)
-	report := e.history[0]
-	// The state has not changed since it was recorded, so it describes the instant one lag ago.
-	if visible := now.Add(-e.settings.ReportLag); visible.After(report.At) {
-		report.At = visible
+	r := e.history[0]
+	if visible := now.Add(-e.settings.ReportLag); r.At.Before(visible) {
+		r.At = visible
 	}
-	return report
+	return r
 }
 
 // loadModel makes the model available after the load time, unless the engine
