Keep the models of versions loaded through the placement planner

Permits now go only to engines that report the model of the version; a request whose model is loaded nowhere yet waits without holding others up.

--- a/internal/capacity/streams_test.go
+++ b/internal/capacity/streams_test.go
@@ -55,7 +55,7 @@
 
 func (discard) Record(string, string, ...string)    {}
 func (discard) Observe(relay.Observation)           {}
-func (discard) Status(string) (permit.Status, bool) { return permit.Status{}, false }
+func (discard) Status(string) (permit.PoolStatus, bool) { return permit.PoolStatus{}, false }
 func (discard) Hosts(string) []callerapi.Host       { return nil }
 func (discard) Accepting() error                    { return nil }
 func (discard) Ready() error                        { return nil }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	ledger   *idempotency.Ledger
 	statuses *statuses
 	rollouts *rollouts
+	placing  *placements
 	control  *control
 	relay    *relay.Relay
 	caller   *callerapi.Server
@@ -137,6 +138,7 @@
 	d.ledger = idempotency.New(d.table, s.Host.Name, time.Now)
 	d.statuses = newStatuses(d.tracker, d.client)
 	d.rollouts = newRollouts(d.follower.Configuration, d.tracker, d.client, d.log)
+	d.placing = newPlacements(d, engine)
 	d.relay = &relay.Relay{
 		Engine: engine, Plain: plain, Permits: d.permits, Ledger: d.ledger, Config: d.follower.Configuration,
 		Pools: d.statuses, Signer: stream.NewSigner(s.Keys.Resume), Events: d.events, Evidence: observer{d.metrics, d.rollouts},
@@ -195,7 +197,7 @@
 	go func() { membershipEnded <- d.runner.Run(member) }()
 	var running sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.syncPools,
+		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.placing.run, d.syncPools,
 	} {
 		running.Go(func() { loop(work) })
 	}
--- a/internal/permit/healthchecks.go
+++ b/internal/permit/healthchecks.go
@@ -12,12 +12,14 @@
 // poller reads the load reports of one upstream. Its fields are guarded by the
 // mutex of its pool.
 type poller struct {
-	address   string
-	cancel    context.CancelFunc
-	report    upstream.Report
-	reachable bool
-	failures  int
-	events    uint64 // last cache event seen
+	address string
+	cancel  context.CancelFunc
+	report  upstream.Report
+	// measuredAt is when the upstream was in the state of report.
+	measuredAt time.Time
+	reachable  bool
+	failures   int
+	events     uint64 // last cache event seen
 }
 
 // syncPollers starts and stops pollers to match the configuration. The caller holds the lock.
@@ -117,9 +119,10 @@
 	if lag := startedAt.Sub(r.At); !r.At.IsZero() && lag > 0 {
 		age += lag
 	}
+	p.measuredAt = now.Add(-age)
 	w.state.Report(now, pool.Report{
 		Upstream: name, Incarnation: r.Incarnation, Cold: r.Cold, Leaving: r.Leaving,
-		Running: r.Running + r.Waiting, MemoryTokens: r.MemoryTokens, Age: age,
+		Running: r.Running + r.Waiting, MemoryTokens: r.MemoryTokens, Models: r.Models, Age: age,
 	})
 	events := make([]pool.CacheEvent, 0, len(cache))
 	for _, e := range cache {
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -27,9 +27,12 @@
 	waiters map[string]*waiter
 	holders map[uint64]*holderOf
 	polls   map[string]*poller
-	ctx     context.Context
-	cancel  context.CancelFunc
-	stopped bool
+	// produced holds the tokens last reported for each permit; tokens sums the increments.
+	produced map[uint64]int
+	tokens   map[Demand]int
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stopped  bool
 	// deputy is the member that grants from the reserve.
 	deputy string
 	// granting is set while the right to grant has lasted without interruption.
@@ -258,6 +261,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.holders, c.PermitID)
+	delete(w.produced, c.PermitID)
 	w.state.ConfirmCancelled(w.owner.now(), c.PermitID)
 	w.decide()
 }
@@ -308,6 +312,10 @@
 	if holder != nil && !holder.accepts(from) {
 		return
 	}
+	if more := r.Progress.Tokens - w.produced[r.Permit.ID]; more > 0 {
+		w.tokens[Demand{w.key.pool, r.Service, r.Version}] += more
+		w.produced[r.Permit.ID] = r.Progress.Tokens
+	}
 	w.state.Progress(now, []pool.Progress{r.Progress})
 	if len(w.state.Unknown()) == 0 || pool.SameIssuer(r.Permit.ID, w.idBase) {
 		return // renewed, or a permit of this owner that has ended
@@ -324,6 +332,7 @@
 
 func (w *owned) finish(now time.Time, f Finished, holder *holderOf) {
 	delete(w.holders, f.PermitID)
+	delete(w.produced, f.PermitID)
 	if !f.Cancel || f.Outcome != pool.Cancelled || holder == nil {
 		w.state.Release(now, f.PermitID, f.Outcome, f.Tokens)
 		return
@@ -367,3 +376,25 @@
 	}
 	return status
 }
+
+func (w *owned) engines() []EngineState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conf.Kind == entity.KindPlain {
+		return nil
+	}
+	out := make([]EngineState, 0, len(w.polls))
+	for name, p := range w.polls {
+		out = append(out, EngineState{Pool: w.key.pool, Upstream: name, Reachable: p.reachable, Report: p.report, MeasuredAt: p.measuredAt})
+	}
+	return out
+}
+
+func (w *owned) takeTokens(into map[Demand]int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for demand, n := range w.tokens {
+		into[demand] += n
+	}
+	clear(w.tokens)
+}
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -204,6 +204,39 @@
 	return result
 }
 
+// EngineState is an owned engine as its latest report shows it.
+type EngineState struct {
+	Pool       string
+	Upstream   string
+	Reachable  bool
+	Report     upstream.Report
+	MeasuredAt time.Time
+}
+
+// Engines returns the engines of the owned pools.
+func (o *Owner) Engines() []EngineState {
+	var out []EngineState
+	for _, own := range o.all() {
+		if own.key.role == RoleOwner {
+			out = append(out, own.engines()...)
+		}
+	}
+	return out
+}
+
+// Demand is work that a pool does for a version of a service.
+type Demand struct{ Pool, Service, Version string }
+
+// TakeTokens returns and forgets the output tokens that holders have reported
+// since the last call.
+func (o *Owner) TakeTokens() map[Demand]int {
+	out := map[Demand]int{}
+	for _, own := range o.all() {
+		own.takeTokens(out)
+	}
+	return out
+}
+
 func (o *Owner) newOwned(key digestKey, p entity.Pool, epoch uint64) *owned {
 	deputy := key.role == RoleDeputy
 	state := pool.New(pool.Config{
@@ -213,5 +246,6 @@
 	return &owned{
 		owner: o, key: key, conf: p, state: state, idBase: pool.PermitIDBase(epoch, deputy),
 		waiters: map[string]*waiter{}, holders: map[uint64]*holderOf{}, polls: map[string]*poller{},
+		produced: map[uint64]int{}, tokens: map[Demand]int{},
 	}
 }
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -93,6 +93,9 @@
 			return fairqueue.Stop
 		}
 		u := s.pick(open, r, s.stepShare(now, it))
+		if u == nil && !s.loaded(r.Model) {
+			return fairqueue.Skip // a request that waits for its model holds nobody up
+		}
 		if u == nil {
 			if passed++; passed >= scanDepth || now.Sub(it.Enqueued) >= overtakeTime {
 				return fairqueue.Stop
@@ -110,6 +113,11 @@
 	s.pressure.update(now, s.queue.Len() > 0)
 }
 
+// loaded reports whether some upstream has loaded the model.
+func (s *State) loaded(model string) bool {
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.holds(model) })
+}
+
 // noteRunning lets the predicted lengths take account of the requests in progress.
 func (s *State) noteRunning(now time.Time) {
 	if now.Sub(s.runningNoted) < runningInterval {
@@ -164,13 +172,13 @@
 	lengths := s.lengths.Lengths(keyOf(r))
 	size := footprint{r.PromptTokens, lengths.Remaining(0, r.MaxTokens)}
 	long := size.output > longOutput*s.meanOutput
-	warm := long && slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.tracker.Awaiting() && s.mayServe(u, r) })
+	warm := long && slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.tracker.Awaiting() && s.mayServe(u, r) && u.holds(r.Model) })
 	var add admission.Profile
 	add.Add(admission.Load{Held: r.PromptTokens, Limit: r.MaxTokens}, lengths)
 	s.candidates, s.fitting = s.candidates[:0], s.fitting[:0]
 	lowest := math.Inf(1)
 	for _, u := range open {
-		if !s.mayServe(u, r) || warm && u.tracker.Awaiting() || u.rejected.covers(size) {
+		if !s.mayServe(u, r) || !u.holds(r.Model) || warm && u.tracker.Awaiting() || u.rejected.covers(size) {
 			continue
 		}
 		share := float64(u.running()+1) / float64(max(u.tracker.Limit(), 1))
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -112,7 +112,7 @@
 	var best *upstream
 	usable := 0
 	for _, u := range s.upstreams {
-		if u.leaving || u.removed || u.report.Leaving || slices.Contains(r.Exclude, u.name) || s.isDown(now, u) {
+		if u.leaving || u.removed || u.report.Leaving || slices.Contains(r.Exclude, u.name) || !u.holds(r.Model) || s.isDown(now, u) {
 			continue
 		}
 		usable++
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -55,6 +55,8 @@
 	Deadline time.Time
 	// FinishBy is the time by which the answer is useful; zero means none.
 	FinishBy time.Time
+	// Model is the model that the request needs; "" for plain services.
+	Model string
 	// Exclude lists upstreams that the request must not run on.
 	Exclude []string
 	// Isolated asks that the request run alone on its upstream, because it is
@@ -108,6 +110,8 @@
 	Leaving      bool
 	Running      int
 	MemoryTokens int
+	// Models lists the loaded models; empty means that the upstream takes any model.
+	Models []string
 	// Age is how old the report was when it was received.
 	Age time.Duration
 }
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -108,6 +108,11 @@
 	return coldstart.Limits{Cold: p.Limits.ColdRequests, Max: p.Limits.MaxRequests}
 }
 
+// holds reports whether the upstream has loaded the model, as far as its reports tell.
+func (u *upstream) holds(model string) bool {
+	return model == "" || len(u.report.Models) == 0 || slices.Contains(u.report.Models, model)
+}
+
 // running returns the requests that count against the limit.
 func (u *upstream) running() int { return len(u.permits) + max(u.unknown, u.assumed) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	held, err := r.Permits.Acquire(ctx, p.Name, pool.Request{
-		ID: call.RequestID, Fingerprint: call.fingerprint(), Service: call.Service.Name, Version: version.Name,
+		ID: call.RequestID, Fingerprint: call.fingerprint(), Service: call.Service.Name, Version: version.Name, Model: version.Model,
 		Account: call.Account.Name, Weight: call.Account.Share, MaxQueued: call.Account.MaxQueued,
 		Priority: call.Service.Priority, PromptTokens: promptTokens(call), MaxTokens: call.MaxTokens,
 		PrefixHash: prefixHash(call.Prompt), Deadline: deadline, FinishBy: call.FinishBy, Exclude: exclude,
