--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -168,6 +168,8 @@
 	hosts   []*host
 	engines map[string]*process
 	plains  map[string]*process
+	// extra returns additional settings of a host.
+	extra func(*host) string
 }
 
 func freeAddress(t *testing.T) string {
@@ -181,7 +183,13 @@
 // newCluster starts the platform's stand-ins and one daemon for each named data centre.
 func newCluster(t *testing.T, dataCentres ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), engines: map[string]*process{}, plains: map[string]*process{}}
+	return newClusterWith(t, func(*host) string { return "" }, dataCentres...)
+}
+
+// newClusterWith adds settings to those of each host.
+func newClusterWith(t *testing.T, extra func(*host) string, dataCentres ...string) *cluster {
+	t.Helper()
+	c := &cluster{extra: extra, t: t, dir: t.TempDir(), engines: map[string]*process{}, plains: map[string]*process{}}
 	c.table = start(t, "table", "rattanstandin", "table", "-listen", "127.0.0.1:0")
 	c.list = start(t, "hostlist", "rattanstandin", "hostlist", "-listen", "127.0.0.1:0")
 	for i, dc := range dataCentres {
@@ -210,7 +218,7 @@
 limits: {token-timeout: 2s}
 drain: {announce: 1s, limit: 2s}
 `, name, dataCentre, h.caller, h.operator, h.peer, c.table.addr, c.list.addr, operatorKey, accountKey)
-	require.NoError(c.t, os.WriteFile(h.settings, []byte(text), 0o600))
+	require.NoError(c.t, os.WriteFile(h.settings, []byte(text+c.extra(h)), 0o600))
 	c.hosts = append(c.hosts, h)
 	return h
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/rattanscale/rattanscale/internal/callerapi"
 	"github.com/rattanscale/rattanscale/internal/changelog"
 	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/failure"
 	"github.com/rattanscale/rattanscale/internal/idempotency"
 	"github.com/rattanscale/rattanscale/internal/membership"
 	"github.com/rattanscale/rattanscale/internal/membership/runner"
@@ -64,6 +65,7 @@
 	statuses *statuses
 	rollouts *rollouts
 	placing  *placements
+	trace    *recording
 	control  *control
 	relay    *relay.Relay
 	caller   *callerapi.Server
@@ -102,6 +104,9 @@
 	d.events = &events{d.recorder}
 	d.buildMembership(do.MustInvoke[platform.HostList](i))
 	d.members = members{d.tracker}
+	if d.trace, err = newRecording(s.TraceFile, d.follower.Configuration, d.log); err != nil {
+		return nil, failure.New(failure.InvalidSettings, "trace-file: %v", err)
+	}
 	d.buildDecisions(do.MustInvoke[upstream.Engine](i), do.MustInvoke[upstream.Plain](i))
 	d.buildInterfaces()
 	d.registerMethods()
@@ -141,8 +146,8 @@
 	d.placing = newPlacements(d, engine)
 	d.relay = &relay.Relay{
 		Engine: engine, Plain: plain, Permits: d.permits, Ledger: d.ledger, Config: d.follower.Configuration,
-		Pools: d.statuses, Signer: stream.NewSigner(s.Keys.Resume), Events: d.events, Evidence: observer{d.metrics, d.rollouts},
-		Budget: &budget{}, Log: d.log, DataCentre: s.Host.DataCentre, OtherHosts: d.otherHosts,
+		Pools: d.statuses, Signer: stream.NewSigner(s.Keys.Resume), Events: d.events, Evidence: newObserver(d.metrics, d.rollouts),
+		Budget: &budget{}, Trace: d.trace, Log: d.log, DataCentre: s.Host.DataCentre, OtherHosts: d.otherHosts,
 		Handover: d.drain.handover, MaxWholeBytes: maxWholeBytes,
 	}
 }
@@ -197,7 +202,7 @@
 	go func() { membershipEnded <- d.runner.Run(member) }()
 	var running sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.placing.run, d.syncPools,
+		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.placing.run, d.trace.run, d.syncPools,
 	} {
 		running.Go(func() { loop(work) })
 	}
@@ -293,6 +298,7 @@
 		}
 		if conf.Revision != revision {
 			d.events.Record("config-applied", "", "revision", u64(conf.Revision))
+			d.trace.applied(conf)
 		}
 		epoch, revision, incarnation = snapshot.View.Epoch, conf.Revision, snapshot.Self.Incarnation
 		d.owner.Sync(ctx, conf, epoch)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -40,11 +40,31 @@
 // implements relay.Evidence and is safe for concurrent use.
 type observer struct {
 	metrics  *metrics.Set
+	gaps     *metrics.Histogram
+	stalled  *metrics.FloatCounter
 	rollouts *rollouts
 }
 
+// stallBound is the time between tokens above which a stream counts as stalled.
+const stallBound = 62 * time.Millisecond
+
+func newObserver(set *metrics.Set, rollouts *rollouts) *observer {
+	return &observer{
+		metrics: set, rollouts: rollouts, gaps: set.NewHistogram("rattanscale_token_gap_seconds"),
+		stalled: set.NewFloatCounter("rattanscale_stall_seconds_total"),
+	}
+}
+
+// Gap records the time between two tokens of a stream.
+func (o *observer) Gap(gap time.Duration) {
+	o.gaps.Update(gap.Seconds())
+	if gap > stallBound {
+		o.stalled.Add((gap - stallBound).Seconds())
+	}
+}
+
 // Observe records the result of one request.
-func (o observer) Observe(r relay.Observation) {
+func (o *observer) Observe(r relay.Observation) {
 	result := "failure"
 	if r.Success {
 		result = "success"
--- /dev/null
+++ b/internal/daemon/recording.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"context"
+	"math"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/relay"
+	"github.com/rattanscale/rattanscale/internal/trace"
+)
+
+const (
+	// traceFlushInterval bounds what a trace loses when the process dies.
+	traceFlushInterval = time.Second
+	// prefixTokens is the length of the prompt prefix that identifies cached prompts.
+	prefixTokens = 64
+)
+
+// recording writes the requests of this daemon to a trace file. It implements
+// relay.Trace and is safe for concurrent use. A nil recording records nothing.
+type recording struct {
+	file   *os.File
+	config func() *entity.Configuration
+	log    logr.Logger
+
+	mu      sync.Mutex
+	writer  *trace.Writer // nil until the configuration is known
+	started time.Time
+	out     map[string]bool
+}
+
+// newRecording opens the file; run closes it. It returns nil when path is empty.
+func newRecording(path string, config func() *entity.Configuration, log logr.Logger) (*recording, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &recording{file: file, config: config, log: log}, nil
+}
+
+// begin writes the header once the configuration is known. The caller holds the lock.
+func (r *recording) begin(conf *entity.Configuration) bool {
+	if r.writer != nil {
+		return true
+	}
+	if conf.Text == nil {
+		return false
+	}
+	r.started = time.Now()
+	writer, err := trace.NewWriter(r.file, header(conf))
+	if err != nil {
+		r.log.Error(err, "trace cannot be written")
+		return false
+	}
+	r.writer = writer
+	return true
+}
+
+// Arrived notes a request.
+func (r *recording) Arrived(call *relay.Call, promptTokens int, prefix uint64) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.begin(r.config()) {
+		return
+	}
+	arrival := trace.Arrival{
+		ID: call.RequestID, Service: call.Service.Name, Account: call.Account.Name, PromptTokens: promptTokens,
+		MaxTokens: call.MaxTokens, PrefixHash: prefix & math.MaxInt64, PrefixTokens: min(promptTokens, prefixTokens),
+	}
+	if !call.FinishBy.IsZero() {
+		arrival.FinishByMS = max(call.FinishBy.Sub(r.started).Milliseconds(), 1)
+	}
+	r.writer.Arrived(time.Since(r.started), arrival)
+}
+
+// Ended writes a request whose output length is known, and forgets any other.
+func (r *recording) Ended(id string, tokens int, complete bool) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writer == nil {
+		return
+	}
+	if !complete || tokens == 0 {
+		r.writer.Forget(id)
+		return
+	}
+	if err := r.writer.Completed(id, tokens); err != nil {
+		r.log.V(1).Info("request is not in the trace", "request", id, "error", err.Error())
+	}
+}
+
+// applied notes data centres that were taken out or brought back.
+func (r *recording) applied(conf *entity.Configuration) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.begin(conf) {
+		return
+	}
+	for _, name := range conf.Text.DataCentres {
+		if out := conf.DataCentresOut[name]; out != r.out[name] {
+			kind := trace.DataCentreBack
+			if out {
+				kind = trace.DataCentreOut
+			}
+			_ = r.writer.Write(trace.Event{AtMS: time.Since(r.started).Milliseconds(), Kind: kind, DataCentre: name})
+		}
+	}
+	r.out = conf.DataCentresOut
+}
+
+// run flushes the trace until ctx ends, then closes the file.
+func (r *recording) run(ctx context.Context) {
+	if r == nil {
+		return
+	}
+	ticker := time.NewTicker(traceFlushInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+		r.flush()
+	}
+	_ = r.file.Close()
+}
+
+func (r *recording) flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writer == nil {
+		return
+	}
+	if err := r.writer.Flush(); err != nil {
+		r.log.Error(err, "trace cannot be written")
+	}
+}
+
+// header describes the configuration. Services of plain upstreams are left out,
+// because the engine model does not apply to them.
+func header(conf *entity.Configuration) trace.Header {
+	h := trace.Header{Name: "recorded", About: "recorded by a running daemon", Seed: 1, SpanMS: time.Hour.Milliseconds()}
+	engines := map[string]bool{}
+	for _, p := range conf.Text.Pools {
+		if p.Kind == entity.KindPlain {
+			continue
+		}
+		engines[p.Name] = true
+		limits := trace.Limits{
+			ColdRequests: p.Limits.ColdRequests, MaxRequests: p.Limits.MaxRequests, MemoryTokens: p.Limits.MemoryTokens,
+			TargetStepMS: p.Limits.TargetStep.Milliseconds(),
+		}
+		row := trace.Pool{Name: p.Name, DataCentre: p.DataCentre, Limits: limits}
+		for _, u := range p.Upstreams {
+			row.Upstreams = append(row.Upstreams, trace.Upstream{Name: u.Name, Engine: trace.DefaultEngine(limits)})
+		}
+		h.Pools = append(h.Pools, row)
+	}
+	for _, s := range conf.Text.Services {
+		row := trace.Service{Name: s.Name, Delivery: trace.Delivery(s.Delivery), Priority: s.Priority, DeadlineMS: s.Deadline.Milliseconds()}
+		seen := map[string]bool{}
+		for _, v := range s.Versions {
+			for _, p := range v.Pools {
+				if engines[p] && !seen[p] {
+					seen[p] = true
+					row.Pools = append(row.Pools, p)
+				}
+			}
+		}
+		if len(row.Pools) > 0 {
+			h.Services = append(h.Services, row)
+		}
+	}
+	for _, a := range conf.Text.Accounts {
+		h.Accounts = append(h.Accounts, trace.Account{Name: a.Name, Share: a.Share, MaxQueued: a.MaxQueued})
+	}
+	return h
+}
--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -59,6 +59,7 @@
 	sendBy   time.Time
 	released bool
 	steps    int
+	firstTok time.Time
 	lastTok  time.Time
 	started  time.Time
 }
@@ -196,8 +197,9 @@
 	return h.client.members.MaySend(now)
 }
 
-// Token records one received token.
-func (h *Held) Token() {
+// Token records one received token and returns the time since the one before it,
+// or 0 for the first.
+func (h *Held) Token() (gap time.Duration) {
 	now := h.client.now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -205,19 +207,28 @@
 	p.Tokens++
 	if p.Tokens == 1 {
 		p.FirstToken = now.Sub(h.started)
-	} else if !h.lastTok.IsZero() {
+	}
+	if h.firstTok.IsZero() {
+		h.firstTok = now
+	} else {
 		// Mean of the steps since the previous digest.
+		gap = now.Sub(h.lastTok)
 		h.steps++
-		p.StepTime += (now.Sub(h.lastTok) - p.StepTime) / time.Duration(h.steps)
+		p.StepTime += (gap - p.StepTime) / time.Duration(h.steps)
 	}
 	h.lastTok = now
+	return gap
 }
 
-// Progress returns a copy of the progress so far.
-func (h *Held) Progress() pool.Progress {
+// Speed returns the time to the first token and the mean time between tokens, 0
+// where unknown.
+func (h *Held) Speed() (first, step time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.running.Progress
+	if n := h.running.Progress.Tokens; n > 1 {
+		step = h.lastTok.Sub(h.firstTok) / time.Duration(n-1)
+	}
+	return h.running.Progress.FirstToken, step
 }
 
 // Release ends the permit. With cancel, the owner cancels the request at the
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -30,6 +30,7 @@
 	delivered bool   // tokens of the current generation reached the caller
 	lastGen   string // generation that was announced last
 	exclude   []string
+	tokens    int // of the complete answer
 }
 
 // Generate runs a generation and writes its events. An error is returned only
@@ -40,6 +41,10 @@
 	if r.Budget != nil {
 		r.Budget.Attempt()
 	}
+	if r.Trace != nil {
+		r.Trace.Arrived(call, promptTokens(call), upstream.PrefixHash(call.Prompt))
+		defer func() { r.Trace.Ended(call.RequestID, g.tokens, g.tokens > 0) }()
+	}
 	err := g.run(ctx)
 	switch {
 	case err == nil, errors.Is(err, errHandover), errors.Is(err, errCallerGone):
@@ -116,7 +121,9 @@
 		if token.Done {
 			return g.finish(t, token, next)
 		}
-		t.held.Token()
+		if gap := t.held.Token(); gap > 0 && g.relay.Evidence != nil {
+			g.relay.Evidence.Gap(gap)
+		}
 		if next == 0 {
 			g.relay.Events.Record("token-first", g.call.RequestID, "upstream", t.upstream.Name, "generation", token.Generation)
 		}
@@ -163,6 +170,7 @@
 	err := g.sink.done(stream.DoneData{Generation: token.Generation, Tokens: count, Finish: token.Finish})
 	t.held.Release(pool.Completed, false)
 	g.observe(t, true)
+	g.tokens = count
 	if err != nil {
 		g.relay.Events.Record("caller-gone", g.call.RequestID)
 		return errCallerGone
@@ -273,10 +281,10 @@
 	if g.relay.Evidence == nil {
 		return
 	}
-	p := t.held.Progress()
+	first, step := t.held.Speed()
 	g.relay.Evidence.Observe(Observation{
 		Service: g.call.Service.Name, Account: g.call.Account.Name, Version: t.version.Name, RolloutStep: t.step,
-		Success: success, FirstToken: p.FirstToken, Step: p.StepTime,
+		Success: success, FirstToken: first, Step: step,
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,8 @@
 // safe for concurrent use.
 type Evidence interface {
 	Observe(o Observation)
+	// Gap receives each time between two tokens of a stream.
+	Gap(gap time.Duration)
 }
 
 // Observation is the result of one request on one version.
@@ -57,6 +59,13 @@
 	Step        time.Duration
 }
 
+// Trace records requests. Implementations are safe for concurrent use.
+type Trace interface {
+	Arrived(call *Call, promptTokens int, prefix uint64)
+	// Ended tells the number of tokens of a complete answer.
+	Ended(request string, tokens int, complete bool)
+}
+
 // Budget limits retries. Implementations are safe for concurrent use.
 type Budget interface {
 	// Attempt counts a first attempt.
@@ -78,6 +87,7 @@
 	Events     Events
 	Evidence   Evidence
 	Budget     Budget
+	Trace      Trace
 	Log        logr.Logger
 	DataCentre string
 	// OtherHosts lists caller addresses of other hosts, best first.
@@ -162,7 +172,7 @@
 		ID: call.RequestID, Fingerprint: call.fingerprint(), Service: call.Service.Name, Version: version.Name, Model: version.Model,
 		Account: call.Account.Name, Weight: call.Account.Share, MaxQueued: call.Account.MaxQueued,
 		Priority: call.Service.Priority, PromptTokens: promptTokens(call), MaxTokens: call.MaxTokens,
-		PrefixHash: prefixHash(call.Prompt), Deadline: deadline, FinishBy: call.FinishBy, Exclude: exclude,
+		PrefixHash: upstream.PrefixHash(call.Prompt), Deadline: deadline, FinishBy: call.FinishBy, Exclude: exclude,
 	})
 	if err != nil {
 		return target{}, err
@@ -179,13 +189,6 @@
 
 func promptTokens(call *Call) int { return len(call.Prompt)/bytesPerToken + 1 }
 
-// prefixBytes is the part of a prompt that decides cache affinity.
-const prefixBytes = 256
-
-func prefixHash(prompt string) uint64 {
-	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
-}
-
 // checkDependencies returns a typed failure that names the first dependency,
 // direct or indirect, that is known to have no available upstream.
 func (r *Relay) checkDependencies(conf *entity.Configuration, service entity.Service) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,9 +167,12 @@
 	if fe.Param() != "" {
 		rule += "=" + fe.Param()
 	}
-	if strings.HasPrefix(path, "keys.") || strings.Contains(path, "secret") {
+	if strings.HasPrefix(path, "keys") || strings.Contains(path, "secret") {
 		return "the value does not satisfy " + rule // never prints a secret
 	}
+	if fe.Tag() == "required" {
+		return "a value is required"
+	}
 	return fmt.Sprintf("%v does not satisfy %s", fe.Value(), rule)
 }
 
