--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -52,7 +52,7 @@
 
 // process is one running program.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	name   string
 	cmd    *exec.Cmd
 	addr   string // of a stand-in
@@ -79,7 +79,7 @@
 	return l.b.String()
 }
 
-func start(t *testing.T, name, program string, args ...string) *process {
+func start(t testing.TB, name, program string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, exited: make(chan struct{})}
 	p.cmd = exec.Command(os.Args[0], args...)
@@ -161,7 +161,7 @@
 
 // cluster is a system of daemons and stand-ins.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	table   *process
 	list    *process
@@ -172,7 +172,7 @@
 	extra func(*host) string
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -181,13 +181,13 @@
 }
 
 // newCluster starts the platform's stand-ins and one daemon for each named data centre.
-func newCluster(t *testing.T, dataCentres ...string) *cluster {
+func newCluster(t testing.TB, dataCentres ...string) *cluster {
 	t.Helper()
 	return newClusterWith(t, func(*host) string { return "" }, dataCentres...)
 }
 
 // newClusterWith adds settings to those of each host.
-func newClusterWith(t *testing.T, extra func(*host) string, dataCentres ...string) *cluster {
+func newClusterWith(t testing.TB, extra func(*host) string, dataCentres ...string) *cluster {
 	t.Helper()
 	c := &cluster{extra: extra, t: t, dir: t.TempDir(), engines: map[string]*process{}, plains: map[string]*process{}}
 	c.table = start(t, "table", "rattanstandin", "table", "-listen", "127.0.0.1:0")
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -56,7 +56,7 @@
 const warmLimits = "{cold-requests: 4, max-requests: 16, memory-tokens: 65536, target-step: 62ms}"
 
 // small starts three daemons in two data centres, one engine and one plain service in each.
-func small(t *testing.T, engineArgs ...string) *cluster {
+func small(t testing.TB, engineArgs ...string) *cluster {
 	t.Helper()
 	c := newCluster(t, "praha-1", "praha-1", "praha-2")
 	for _, dc := range []string{"praha-1", "praha-2"} {
