Refuse texts that take the YAML parser quadratic time

1 MB of "- a:" lines took 84 s and 1 MB of "a: b" lines more than a minute. Tokens are checked first: at most 500 fields in a mapping, adjacent scalars and missing values.

--- a/internal/servicetext/parse.go
+++ b/internal/servicetext/parse.go
@@ -61,6 +61,9 @@
 	maxMemoryTokens = 1 << 40
 	// maxNesting bounds the parser's recursion; the deepest valid text has 6 levels.
 	maxNesting = 32
+	// maxFields bounds the fields of one mapping; the longest valid one has 8, and a
+	// mapping's count includes those around it.
+	maxFields = 500
 
 	minTargetStep     = time.Millisecond
 	maxTargetStep     = 10 * time.Second
@@ -167,35 +170,83 @@
 }
 
 // checkTokens refuses indirections and deep nesting before the recursive parser
-// sees them: a stack overflow would end the process.
+// sees them: a stack overflow would end the process. It also bounds the fields of one
+// mapping, adjacent scalars and missing values, for which the parser takes quadratic
+// time or more: 1 MB of "- a:" lines took 84 s.
 func checkTokens(tokens token.Tokens) *syntaxProblem {
-	depth, inRow, line := 0, 0, 0
-	for _, t := range tokens {
+	depth, inRow, line, keys, scalars, empty := 0, 0, 0, 0, 0, 0
+	for i, t := range tokens {
+		if lacksValue(tokens, i) {
+			empty++
+		}
 		if t.Position.Line != line {
 			line, inRow = t.Position.Line, 0
 		}
+		scalars++
 		switch t.Type {
 		case token.AnchorType, token.AliasType, token.TagType, token.MergeKeyType, token.MappingKeyType:
 			return &syntaxProblem{line, t.Value, "anchors, aliases, tags, merge keys and explicit keys are not allowed"}
 		case token.MappingStartType, token.SequenceStartType:
 			depth++
 			inRow++
+			keys, scalars = 0, 0
 		case token.MappingEndType, token.SequenceEndType:
 			depth--
-		case token.SequenceEntryType, token.MappingValueType:
+			scalars = 0
+		case token.SequenceEntryType:
+			inRow++
+			keys, scalars = 0, 0
+		case token.MappingValueType:
 			inRow++
+			keys++
+			scalars = 0
 		case token.CollectEntryType:
-			inRow = 0
+			inRow, scalars = 0, 0
+		case token.CommentType:
+			scalars--
 		case token.InvalidType:
 			return &syntaxProblem{line, strings.TrimSpace(t.Value), "is not valid YAML: " + t.Error}
 		}
-		if depth > maxNesting || inRow > maxNesting {
+		switch {
+		case depth > maxNesting || inRow > maxNesting:
 			return &syntaxProblem{line, t.Value, "is nested too deeply"}
+		case empty > maxFields:
+			return &syntaxProblem{line, t.Value, "has too many fields without a value"}
+		case keys > maxFields || scalars > maxFields:
+			return &syntaxProblem{line, t.Value, "has too many fields or values in one mapping"}
 		}
 	}
 	return nil
 }
 
+// lacksValue tells whether the token begins a value or list element that is not there.
+func lacksValue(tokens token.Tokens, i int) bool {
+	t := tokens[i]
+	if t.Type != token.MappingValueType && t.Type != token.SequenceEntryType {
+		return false
+	}
+	following := i + 1
+	for following < len(tokens) && tokens[following].Type == token.CommentType {
+		following++
+	}
+	if following == len(tokens) {
+		return true
+	}
+	next, start := tokens[following], t.Position
+	switch next.Type {
+	case token.CollectEntryType, token.MappingEndType, token.SequenceEndType:
+		return true
+	}
+	if t.Type == token.MappingValueType && i > 0 {
+		start = tokens[i-1].Position // the key
+	}
+	if next.Position.Line == t.Position.Line || next.Position.Column > start.Column {
+		return false
+	}
+	// The elements of a list may stand in the column of its key.
+	return t.Type == token.SequenceEntryType || next.Type != token.SequenceEntryType || next.Position.Column < start.Column
+}
+
 // positioned is the form of the parser's errors.
 type positioned interface {
 	GetMessage() string
