--- a/bench/daemons.sh
+++ b/bench/daemons.sh
@@ -6,7 +6,7 @@
 #   bench/daemons.sh 8 16 32 64
 #
 # UPSTREAMS=N applies a service text with one pool for each daemon and N plain
-# upstreams in each pool. SECONDS_EACH is the length of the measurement.
+# upstreams in each pool; nothing listens at their loopback addresses. SECONDS_EACH is the length of the measurement.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/bin
@@ -47,7 +47,7 @@
         printf 'version: 1\ndata-centres: [praha-1, praha-2, praha-3, praha-4]\npools:\n'
         for i in $(seq "$1"); do
             printf '  - {name: pool-%d, kind: plain, data-centre: praha-%d, limits: {cold-requests: 4, max-requests: 32}, upstreams: [' "$i" $((i % 4 + 1))
-            for u in $(seq "$upstreams"); do printf '{name: u%d-%d, address: "%s"}, ' "$i" "$u" "$plain"; done
+            for u in $(seq "$upstreams"); do printf '{name: u%d-%d, address: "%s"}, ' "$i" "$u" "127.$((1 + u)).$((1 + i)).1:9"; done
             printf ']}\n'
         done
         printf 'services:\n  - {name: pickup, versions: [{name: v1, pools: [pool-1], share: 100}]}\naccounts:\n  - {name: guides}\n'
@@ -76,7 +76,6 @@
     list=""
     for i in $(seq "$count"); do list+="${list:+,}$(printf '{"name":"praha-%d-host-%04d","address":"127.0.0.1:%d"}' $((i % 4 + 1)) "$i" $((port + 10 * i + 2)))"; done
     standin hostlist hostlist -hosts "[$list]"
-    standin plain plain
     daemons=()
     for i in $(seq "$count"); do
         name=$(printf 'praha-%d-host-%04d' $((i % 4 + 1)) "$i")
@@ -85,7 +84,7 @@
         pids+=($!); daemons+=($!)
     done
     for _ in $(seq 60); do # every daemon sees every other one
-        members=$("$bin/rattanctl" status -addr "127.0.0.1:$((port + 11))" -output json 2>/dev/null | grep -o '"caller_address"\|"ready":true\|"Ready":true' | wc -l || true)
+        members=$("$bin/rattanctl" status -addr "127.0.0.1:$((port + 11))" -output json 2>/dev/null | grep -c '"ready": true' || true)
         [ "$members" -ge "$count" ] && break
         sleep 0.5
     done
--- a/internal/capacity/messages_test.go
+++ b/internal/capacity/messages_test.go
@@ -92,14 +92,14 @@
 	if upstreams == 0 {
 		return permit.StatusResult{}
 	}
-	s := permit.Status{Pool: "model-0001-praha-1", Owner: hostName, Queued: 12}
+	s := permit.PoolStatus{Pool: "model-0001-praha-1", Owner: hostName, Queued: 12}
 	for i := range upstreams {
 		s.Upstreams = append(s.Upstreams, permit.UpstreamStatus{
 			Name: fmt.Sprintf("e%05d", i), Incarnation: "5f2c9a1b7d3e4f60", Reachable: true, Running: 87, Limit: 96,
 			Step: 48_123_456, Models: []string{"oldtown-7b"},
 		})
 	}
-	return permit.StatusResult{Pools: []permit.Status{s}}
+	return permit.StatusResult{Pools: []permit.PoolStatus{s}}
 }
 
 func BenchmarkStatusCall(b *testing.B) {
@@ -174,7 +174,7 @@
 			}
 		}
 	}
-	return c.Report()
+	return c.Report(true)
 }
 
 func BenchmarkEvidenceCall(b *testing.B) {
--- a/internal/capacity/streams_test.go
+++ b/internal/capacity/streams_test.go
@@ -53,12 +53,12 @@
 
 type discard struct{}
 
-func (discard) Record(string, string, ...string)    {}
-func (discard) Observe(relay.Observation)           {}
-func (discard) Status(string) (permit.Status, bool) { return permit.Status{}, false }
-func (discard) Hosts(string) []callerapi.Host       { return nil }
-func (discard) Accepting() error                    { return nil }
-func (discard) Ready() error                        { return nil }
+func (discard) Record(string, string, ...string)        {}
+func (discard) Observe(relay.Observation)               {}
+func (discard) Status(string) (permit.PoolStatus, bool) { return permit.PoolStatus{}, false }
+func (discard) Hosts(string) []callerapi.Host           { return nil }
+func (discard) Accepting() error                        { return nil }
+func (discard) Ready() error                            { return nil }
 
 // relaying is the request path of one daemon. Its callers and its engine are
 // bare connections without goroutines, so that only the daemon's side counts.
