--- /dev/null
+++ b/internal/capacity/digest_test.go
@@ -0,0 +1,68 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/peer"
+	"github.com/rattanscale/rattanscale/internal/permit"
+	"github.com/rattanscale/rattanscale/internal/pool"
+)
+
+// wireMembers sends everything to the answering end of a wire.
+type wireMembers struct {
+	grantingMembers
+	address string
+}
+
+func (m wireMembers) Holder(string, permit.Role) (string, string, bool) {
+	return hostName, m.address, true
+}
+
+// BenchmarkRelease measures the messages of one request's end while the daemon
+// holds other permits of the pool: the digest that reports the end.
+func BenchmarkRelease(b *testing.B) {
+	slopes(b, "permit", []int{16, 32, 64, 128}, func(n int) []reading {
+		granted, digests := uint64(0), make(chan permit.ProgressParams, 1024)
+		w := newWire(b, func(s *peer.Server) {
+			peer.Register(s, permit.MethodAcquire, func(_ context.Context, p permit.AcquireParams) (permit.AcquireResult, error) {
+				granted++
+				g := runningPermit(int(granted)).Permit
+				return permit.AcquireResult{Permit: &g}, nil
+			})
+			peer.Register(s, permit.MethodProgress, func(_ context.Context, p permit.ProgressParams) (struct{}, error) {
+				digests <- p
+				return struct{}{}, nil
+			})
+		})
+		client := permit.NewClient(w.client, wireMembers{address: w.address}, logr.Discard())
+		var held []*permit.Held
+		for i := range n + 1 {
+			h, err := client.Acquire(context.Background(), "model-0001-praha-1", pool.Request{
+				ID: fmt.Sprintf("01JABCDEFGHJKMN%011d", i), Fingerprint: 1 << 60, Service: "service-0001", Version: "v1", Account: "account-00001", PromptTokens: 1234,
+			})
+			require.NoError(b, err)
+			held = append(held, h)
+		}
+		time.Sleep(10 * time.Millisecond) // until the answers are written
+		before := w.counted.in.Load()
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan struct{})
+		held[0].Release(pool.Completed, false)
+		go func() { client.Run(ctx); close(stopped) }()
+		for d := range digests {
+			if len(d.Finished) > 0 {
+				break
+			}
+		}
+		sent := w.counted.in.Load() - before
+		cancel()
+		<-stopped
+		return []reading{{"request-B", float64(sent)}}
+	})
+}
