--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -58,6 +58,8 @@
 	running  Running
 	sendBy   time.Time
 	released bool
+	// announce is set until a digest with the permit was built; see Client.Adopt.
+	announce bool
 	steps    int
 	lastTok  time.Time
 	started  time.Time
@@ -158,7 +160,7 @@
 // Adopt registers a stream that was started through another host, so that its
 // permit is renewed by this daemon.
 func (c *Client) Adopt(poolName string, running Running) *Held {
-	held := &Held{client: c, pool: poolName, role: roleOf(running.Permit.ID), running: running, started: c.now()}
+	held := &Held{client: c, pool: poolName, role: roleOf(running.Permit.ID), running: running, started: c.now(), announce: true}
 	c.mu.Lock()
 	if previous := c.held[running.Permit.ID]; previous != nil {
 		previous.supersede()
@@ -280,24 +282,37 @@
 		select {
 		case <-ctx.Done():
 			final, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			c.sendDigests(final)
+			c.sendDigests(final, allPermits)
 			cancel()
 			return
 		case <-ticker.C:
+			c.sendDigests(ctx, allPermits)
 		case <-c.wake:
+			c.sendDigests(ctx, changedPermits)
 		}
-		c.sendDigests(ctx)
 	}
 }
 
+// digestScope tells which running permits a digest lists.
+type digestScope bool
+
+const (
+	// allPermits renews every permit.
+	allPermits digestScope = true
+	// changedPermits leaves out what the next regular digest renews anyway. A digest
+	// that reports the end of one request would otherwise repeat all the others, and
+	// its cost would grow with the square of the load.
+	changedPermits digestScope = false
+)
+
 type digestKey struct {
 	pool string
 	role Role
 }
 
 // sendDigests sends one digest for each pool and role in use, side by side.
-func (c *Client) sendDigests(ctx context.Context) {
-	digests := c.collect()
+func (c *Client) sendDigests(ctx context.Context, scope digestScope) {
+	digests := c.collect(scope)
 	var calls sync.WaitGroup
 	for key, digest := range digests {
 		calls.Go(func() { c.sendDigest(ctx, key, digest) })
@@ -305,7 +320,7 @@
 	calls.Wait()
 }
 
-func (c *Client) collect() map[digestKey]*ProgressParams {
+func (c *Client) collect(scope digestScope) map[digestKey]*ProgressParams {
 	digests := map[digestKey]*ProgressParams{}
 	digest := func(key digestKey) *ProgressParams {
 		if digests[key] == nil {
@@ -316,6 +331,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, held := range c.held {
+		if scope == changedPermits && !held.mustAnnounce() {
+			continue
+		}
 		d := digest(digestKey{held.pool, held.role})
 		d.Running = append(d.Running, held.takeRunning())
 	}
@@ -329,12 +347,19 @@
 	return digests
 }
 
+// mustAnnounce reports whether the permit waits for its first digest.
+func (h *Held) mustAnnounce() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.announce
+}
+
 // takeRunning returns the state for a digest and starts a new mean of the step time.
 func (h *Held) takeRunning() Running {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.running
-	h.running.Progress.StepTime, h.steps = 0, 0
+	h.running.Progress.StepTime, h.steps, h.announce = 0, 0, false
 	return r
 }
 
--- /dev/null
+++ b/internal/permit/digest_test.go
@@ -0,0 +1,54 @@
+package permit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/pool"
+)
+
+// digestCaller keeps the digests that pass through it.
+type digestCaller struct {
+	Caller
+	digests []ProgressParams
+}
+
+func (c *digestCaller) Call(ctx context.Context, address, method string, params, result any) error {
+	if p, ok := params.(*ProgressParams); ok {
+		c.digests = append(c.digests, *p)
+	}
+	return c.Caller.Call(ctx, address, method, params, result)
+}
+
+// Guards against digests that repeat all running permits whenever one request
+// ends, and against an adopted stream that is not registered at once.
+func TestDigestBetweenTicksListsOnlyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		holder := w.client("c")
+		caller := &digestCaller{Caller: holder.caller}
+		holder.caller = caller
+		first, err := holder.Acquire(t.Context(), "p", request("r1"))
+		require.NoError(t, err)
+		second, err := holder.Acquire(t.Context(), "p", request("r2"))
+		require.NoError(t, err)
+
+		first.Release(pool.Completed, false)
+		synctest.Wait()
+		require.Len(t, caller.digests, 1)
+		require.Empty(t, caller.digests[0].Running)
+		require.Len(t, caller.digests[0].Finished, 1)
+
+		holder.Adopt("p", second.running)
+		synctest.Wait()
+		require.Len(t, caller.digests, 2)
+		require.Len(t, caller.digests[1].Running, 1)
+
+		holder.Adopt("p", second.running).Release(pool.Cancelled, false)
+		synctest.Wait()
+		require.Empty(t, caller.digests[2].Running)
+	})
+}
--- a/internal/permit/messages.go
+++ b/internal/permit/messages.go
@@ -76,8 +76,9 @@
 	Cancel bool `json:"cancel,omitempty"`
 }
 
-// ProgressParams is the digest that a holder sends to the owner of a pool. It
-// lists every permit that the holder has of that pool.
+// ProgressParams is the digest that a holder sends to the owner of a pool. The
+// regular digest lists every permit that the holder has of that pool; one that is
+// sent because a request ended or a stream was adopted lists only those.
 type ProgressParams struct {
 	Pool     string     `json:"pool"`
 	Role     Role       `json:"role"`
