--- a/bench/daemons.sh
+++ b/bench/daemons.sh
@@ -6,10 +6,11 @@
 #   bench/daemons.sh 8 16 32 64
 #
 # UPSTREAMS=N applies a service text with one pool for each daemon and N plain
-# upstreams in each pool; nothing listens at their loopback addresses. SECONDS_EACH is the length of the measurement.
+# upstreams in each pool; nothing listens at their loopback addresses. BIN names
+# another directory with the programs. SECONDS_EACH is the length of the measurement.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/bin
+bin=${BIN:-$PWD/bin}
 dir=$(mktemp -d)
 pids=()
 upstreams=${UPSTREAMS:-0}
--- a/internal/capacity/messages_test.go
+++ b/internal/capacity/messages_test.go
@@ -28,7 +28,7 @@
 var someTime = time.Unix(1_790_000_000, 123456789).UTC()
 
 func identity(n int) membership.Identity {
-	return membership.Identity{Name: fmt.Sprintf("praha-%d-host-%04d", n%4+1, n), Incarnation: uint64(someTime.UnixNano()) + uint64(n)}
+	return membership.Identity{Name: fmt.Sprintf("praha-%d-host-%04d", n%4+1, n), Incarnation: uint64(someTime.UnixMilli()) + uint64(n)}
 }
 
 // cell returns the tracker of member self of a cell of n members that has heard all others.
@@ -183,6 +183,14 @@
 	})
 }
 
+// BenchmarkSparseEvidenceCall measures a partial report, whose routes have had one
+// request on each version.
+func BenchmarkSparseEvidenceCall(b *testing.B) {
+	slopes(b, "route", []int{1, 2, 4, 8}, func(n int) []reading {
+		return message(b, "rollout.evidence", evidenceMessage{requestID, evidenceReport(n, 1)}, struct{}{})
+	})
+}
+
 func BenchmarkDeltaCall(b *testing.B) {
 	slopes(b, "entry", []int{1, 4, 16, 64}, func(n int) []reading {
 		var entries []entity.Change
