--- a/internal/membership/runner/runner.go
+++ b/internal/membership/runner/runner.go
@@ -69,7 +69,9 @@
 	tracker  *membership.Tracker
 	follower *changelog.Follower
 
-	polling sync.Mutex // held during a poll
+	// polling has one place, taken during a poll and what follows from it. A wait
+	// for it can be cancelled, as a poll may take long.
+	polling chan struct{}
 	mu      sync.Mutex
 	row     viewRow
 	joined  bool            // this process has been a member
@@ -111,6 +113,7 @@
 	return &Runner{
 		config: config, tracker: membership.NewTracker(config.Cell, config.Self.Identity, now), follower: config.Log.Follower(),
 		calling: map[string]bool{}, dead: map[membership.Identity]time.Time{}, pulls: make(chan struct{}, 1),
+		polling: make(chan struct{}, 1),
 	}
 }
 
@@ -187,8 +190,10 @@
 		if !r.mustPoll() {
 			return
 		}
-		r.polling.Lock()
-		defer r.polling.Unlock()
+		if r.startPolling(ctx) != nil {
+			return
+		}
+		defer r.endPolling()
 		if err := r.poll(ctx); err != nil {
 			r.config.Logger.V(1).Info("table service not read", "error", err.Error())
 			return
@@ -202,6 +207,17 @@
 	})
 }
 
+func (r *Runner) startPolling(ctx context.Context) error {
+	select {
+	case r.polling <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return failure.NotRun(failure.DeadlineExceeded, "table service: %v", ctx.Err())
+	}
+}
+
+func (r *Runner) endPolling() { <-r.polling }
+
 // mustPoll reports whether the daemon reads the store at this tick: pollers and
 // daemons that are not members always do, others when their confirmation is old.
 func (r *Runner) mustPoll() bool {
--- a/internal/membership/runner/runner_test.go
+++ b/internal/membership/runner/runner_test.go
@@ -30,6 +30,7 @@
 	down  map[string]bool
 	lose  int
 	reads map[string]int
+	slow  time.Duration // of each read
 }
 
 // storeClient is one host's access to the store.
@@ -38,6 +39,13 @@
 	host string
 }
 
+func (s storeClient) wait() {
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	time.Sleep(slow)
+}
+
 func (s storeClient) begin() error {
 	s.reads[s.host]++
 	if s.down[s.host] {
@@ -47,6 +55,7 @@
 }
 
 func (s storeClient) Get(_ context.Context, key platform.Key) (platform.Item, error) {
+	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
@@ -385,6 +394,32 @@
 	})
 }
 
+// Guards against a stop of service and removed members when every read of the
+// store takes long or one link is cut in one direction.
+func TestSlowStoreAndOneWayCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 4)
+		defer c.stop()
+		c.store.mu.Lock()
+		c.store.slow = 900 * time.Millisecond // 1.8 s for the view and the head
+		c.store.mu.Unlock()
+		c.network.mu.Lock()
+		c.network.cut[[2]string{"h0", "h1"}] = true
+		c.network.mu.Unlock()
+		epoch := c.host("h0").Tracker().Snapshot().View.Epoch
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			for name := range c.network.nodes {
+				require.NoError(t, c.maySend(name))
+			}
+		}
+		assert.Equal(t, epoch, c.host("h0").Tracker().Snapshot().View.Epoch)
+		result, err := c.commit("h0", "c1", entity.ChangeApply, "praha-1")
+		require.NoError(t, err)
+		assert.True(t, result.Acknowledged)
+	})
+}
+
 // Guards against R3 being broken by a daemon that is cut off from store and peers
 // while a data centre is taken out, and against a commit by a minority.
 func TestCutOffDaemonDuringTakeOut(t *testing.T) {
--- a/internal/membership/runner/sync.go
+++ b/internal/membership/runner/sync.go
@@ -102,8 +102,10 @@
 // guard makes the commit depend on the view row: no view is written between the
 // check of the majority and the commit.
 func (r *Runner) guard(ctx context.Context) ([]platform.Write, error) {
-	r.polling.Lock()
-	defer r.polling.Unlock()
+	if err := r.startPolling(ctx); err != nil {
+		return nil, err
+	}
+	defer r.endPolling()
 	return r.guardLocked(ctx)
 }
 
