Add eviction of lost members and a stand-in writer of in-force entries

Without eviction a cell that loses the majority of its members for good never removes them, and their pools stay without an owner. The in-force entry was written by the first member only, which may have lost the store.

--- a/internal/changelog/log_test.go
+++ b/internal/changelog/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -271,13 +272,25 @@
 	}
 }
 
+// Measures the time of an entry and the memory that is kept for it and for its
+// configuration.
 func BenchmarkFollowerEntry(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
 	f := NewFollower(parseFake)
 	_, _ = f.Apply(entity.Change{Revision: 1, Kind: entity.ChangeApply, Text: "praha-1"})
+	before := heap()
 	b.ReportAllocs()
 	revision := uint64(1)
 	for b.Loop() {
 		revision++
-		_, _ = f.Apply(entity.Change{Revision: revision, ID: "01J", Kind: entity.ChangeTakeOut, Name: "praha-1", Operator: "jana"})
+		_, _ = f.Apply(entity.Change{Revision: revision, ID: fmt.Sprintf("01JE%022d", revision), Kind: entity.ChangeTakeOut, Name: "praha-1", Operator: "jana"})
 	}
+	b.ReportMetric(float64(heap()-before)/float64(min(revision, recentEntries)), "kept-bytes/entry")
+	runtime.KeepAlive(f)
 }
--- a/internal/membership/runner/runner.go
+++ b/internal/membership/runner/runner.go
@@ -78,6 +78,10 @@
 	calling map[string]bool // members with a heartbeat in flight
 	dead    map[membership.Identity]time.Time
 
+	// pendingRevision waits for its in-force entry since pendingSince.
+	pendingRevision uint64
+	pendingSince    time.Time
+
 	storeFailed atomic.Bool
 	stopped     atomic.Bool
 	pulls       chan struct{}
--- a/internal/membership/runner/runner_test.go
+++ b/internal/membership/runner/runner_test.go
@@ -328,6 +328,46 @@
 	})
 }
 
+// Guards against a cell that never recovers after it has lost the majority of its members.
+func TestEvictAfterLossOfTheMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.stop()
+		c.crash("h1")
+		c.crash("h2")
+		time.Sleep(10 * time.Second)
+		h0 := c.host("h0")
+		assert.Len(t, h0.Tracker().Snapshot().Hosts(), 3, "no majority removes anybody")
+		_, err := c.commit("h0", "c1", entity.ChangeApply, "praha-1")
+		assert.True(t, failure.Is(err, failure.Isolated), "%v", err)
+		for _, name := range []string{"h1", "h2"} {
+			require.NoError(t, h0.Evict(t.Context(), name, "jana"))
+		}
+		assert.True(t, failure.Is(h0.Evict(t.Context(), "h2", "jana"), failure.NotFound))
+		time.Sleep(4 * time.Second)
+		for i := range 20 {
+			assert.NoError(t, h0.Tracker().Snapshot().MayGrant(time.Now(), fmt.Sprint("p", i)))
+		}
+		_, err = c.commit("h0", "c1", entity.ChangeApply, "praha-1")
+		assert.NoError(t, err)
+	})
+}
+
+// Guards against a change that is never marked as in force because the first
+// member in rendezvous order has lost the store.
+func TestInForceWithoutTheFirstMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.stop()
+		order := c.host("h0").Tracker().Snapshot().Order()
+		c.storeDown(true, order[0])
+		_, err := c.commit(order[2], "c1", entity.ChangeApply, "praha-1")
+		require.NoError(t, err)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, uint64(1), c.host(order[0]).follower.Configuration().InForce)
+	})
+}
+
 // Guards against a member that was removed by mistake and stays out.
 func TestRemovedMemberRejoins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/membership/runner/sync.go
+++ b/internal/membership/runner/sync.go
@@ -123,14 +123,18 @@
 	return []platform.Write{{Kind: platform.Check, Key: r.viewKey(), Expect: row.version}}, nil
 }
 
-// writeInForce writes the in-force entry when the latest change is in force. Its
+// writeInForce writes the in-force entry when the latest change has been in force
+// for the delay, during which a member earlier in the order may write it. Its
 // identifier follows from the revision, so that it is written once. The caller
 // holds polling.
-func (r *Runner) writeInForce(ctx context.Context, now time.Time) {
+func (r *Runner) writeInForce(ctx context.Context, now time.Time, delay time.Duration) {
 	conf := r.follower.Configuration()
 	if conf.InForce >= conf.LastChange || r.tracker.InForce(now) < conf.LastChange || r.tracker.Snapshot().MayCommit(now) != nil {
 		return
 	}
+	if !r.pendingFor(now, conf.LastChange, delay) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	change := entity.Change{
@@ -147,6 +151,16 @@
 	r.spawn(func() { r.push(context.WithoutCancel(ctx), revision, nil) })
 }
 
+// pendingFor reports whether the revision has waited for its in-force entry for the delay.
+func (r *Runner) pendingFor(now time.Time, revision uint64, delay time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pendingRevision != revision {
+		r.pendingRevision, r.pendingSince = revision, now
+	}
+	return now.Sub(r.pendingSince) >= delay
+}
+
 // push sends the members the entries that they lack and reports the names of
 // those that hold the revision. acks may be nil.
 func (r *Runner) push(ctx context.Context, revision uint64, acks chan<- string) {
--- a/internal/membership/runner/view.go
+++ b/internal/membership/runner/view.go
@@ -162,13 +162,11 @@
 		}
 		return
 	}
-	if rank > 0 {
-		return
-	}
-	if oldest := r.tracker.Prunable(now); len(row.view.Changes) > pruneAbove && oldest >= row.view.Changes[0].Epoch {
+	// Should the first member not reach the store, the list grows to the second bound.
+	if oldest := r.tracker.Prunable(now); len(row.view.Changes) > pruneAbove*(1+rank) && oldest >= row.view.Changes[0].Epoch {
 		r.writeView(ctx, row, row.view)
 	}
-	r.writeInForce(ctx, now)
+	r.writeInForce(ctx, now, time.Duration(rank)*time.Second)
 }
 
 // deadFor returns the members that have been found dead for at least d.
@@ -190,6 +188,38 @@
 	return due
 }
 
+// Evict removes a member at an operator's word that its process runs no more. It
+// needs no majority, and the member counts as having left by itself: its pools
+// move on although it cannot be heard. It is the remedy when so many members are
+// lost that no strict majority is left to remove them.
+func (r *Runner) Evict(ctx context.Context, name, operator string) error {
+	if name == r.config.Self.Name {
+		return failure.NotRun(failure.InvalidRequest, "host %s runs; stop it instead of evicting it", name)
+	}
+	for range writeAttempts {
+		if err := r.startPolling(ctx); err != nil {
+			return err
+		}
+		err := r.poll(ctx)
+		row := r.currentRow()
+		member, ok := row.view.Member(name)
+		written := err == nil && ok && r.writeView(ctx, row, row.view.Remove(true, member.Identity))
+		r.endPolling()
+		switch {
+		case err != nil:
+			return err
+		case !ok:
+			return failure.NotRun(failure.NotFound, "cell %s has no member %q", r.config.Cell, name)
+		case written:
+			r.record("member-evicted", timeline.Attr("member", name), timeline.Attr("operator", operator))
+			return nil
+		case !pause(ctx, jitter(retryPause)):
+			return failure.New(failure.OutcomeUnknown, "host %s may have been evicted: %v", name, ctx.Err())
+		}
+	}
+	return failure.New(failure.OutcomeUnknown, "host %s may have been evicted; read the list of hosts", name)
+}
+
 // leave removes the daemon from the view. It has stopped granting and answering.
 func (r *Runner) leave(ctx context.Context) {
 	for range writeAttempts {
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -113,7 +113,7 @@
 	assert.NoError(t, paused.Snapshot().MayGrant(c.now, pool))
 }
 
-func ownedPool(t *testing.T, tracker *Tracker) string {
+func ownedPool(t testing.TB, tracker *Tracker) string {
 	t.Helper()
 	for i := range 1000 {
 		pool := fmt.Sprintf("pool-%d", i)
@@ -371,9 +371,9 @@
 	for _, n := range []int{8, 16, 32, 64} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			c := newCluster(n)
-			s := c.trackers[0].Snapshot()
+			s, pool := c.trackers[0].Snapshot(), ownedPool(b, c.trackers[0])
 			for b.Loop() {
-				_ = s.MayGrant(c.now, "narration-praha-1")
+				_ = s.MayGrant(c.now, pool)
 			}
 		})
 	}
