Bound arriving permits by the running count and free slots only by full proof

Longer runs of the property test found three more faults: a report with one slot too few freed the slot of the wrong cancelled permit, a settled new owner granted without a report, and a new deputy trusted a warm report from before its hold.

--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -16,7 +16,7 @@
 	if s.settleAt.Before(until) {
 		s.settleAt = until
 	}
-	s.unsettled, s.complete = true, false
+	s.unsettled = true
 	for _, u := range s.upstreams {
 		u.proven = false
 		u.assumedTil = until.Add(dispatchTimeout)
@@ -35,9 +35,11 @@
 }
 
 // Settle ends the new epoch's caution: every member of the previous view has
-// registered its permits, or the previous owner handed over its running set.
+// registered its permits, or the previous owner handed over its running set. An
+// upstream that reports its load still receives nothing before a report taken
+// after the hold, because requests of a holder that died are known only to it.
 func (s *State) Settle(_ time.Time) {
-	s.unsettled, s.complete = false, true
+	s.unsettled = false
 }
 
 // Adopt registers running permits of a previous owner. Registering a permit
@@ -77,13 +79,10 @@
 	if u.leaving || u.removed || u.report.Leaving || u.alone > 0 || now.Before(u.pausedTil) || s.isDown(now, u) {
 		return 0
 	}
-	reserve := Reserve(s.pool.Limits)
 	if s.cfg.Deputy {
-		return s.deputyHeadroom(u, reserve)
-	}
-	if !s.cfg.Reserve {
-		reserve = 0
+		return s.deputyHeadroom(u, Reserve(s.pool.Limits))
 	}
+	reserve := s.reserve()
 	limit, count := u.tracker.Limit(), u.running()
 	if s.unproved(u) {
 		return 0
@@ -97,24 +96,36 @@
 	return min(limit-count, s.unconfirmed(u)) - reserve
 }
 
+// reserve returns the permits for each upstream that the deputy may grant beside this owner.
+func (s *State) reserve() int {
+	if s.cfg.Deputy || !s.cfg.Reserve {
+		return 0
+	}
+	return Reserve(s.pool.Limits)
+}
+
 // unconfirmed returns how many more requests an upstream may receive before its
 // next report. It may have turned cold right after the last one, so the live
-// permits granted since then must stay within the cold limit.
+// permits that arrived since then must stay within the cold limit.
 func (s *State) unconfirmed(u *upstream) int {
 	left := max(s.pool.Limits.ColdRequests, 1)
 	if !s.needsReports() || !u.hasReport {
 		return u.tracker.Limit()
 	}
+	arriving := 0
 	for i := len(u.permits) - 1; i >= 0; i-- {
 		p := u.permits[i]
 		if p.granted.Add(dispatchTimeout).Before(u.reportTaken) {
 			break // permits are in the order of their grants
 		}
-		if p.started.IsZero() || !p.started.Before(u.reportTaken) {
+		switch {
+		case !p.granted.Before(u.reportTaken):
 			left--
+		case p.started.IsZero() || !p.started.Before(u.reportTaken):
+			arriving++
 		}
 	}
-	return left
+	return left - min(arriving, u.inTransit)
 }
 
 // needsReports tells whether the upstreams of the pool send load reports.
@@ -124,7 +135,7 @@
 // the previous owner run on the upstream. Reports from before the end of the
 // previous owner's lease, or from before its last grants arrived, do not count.
 func (s *State) unproved(u *upstream) bool {
-	if s.epochStart.IsZero() || s.complete || !s.needsReports() {
+	if s.epochStart.IsZero() || !s.needsReports() {
 		return false
 	}
 	return !u.hasReport || u.reportTaken.Before(s.holdUntil.Add(dispatchTimeout))
@@ -145,7 +156,7 @@
 		return 0
 	}
 	cold := u.report.Cold || u.tracker.Awaiting()
-	if cold && !u.proven {
+	if !u.proven && (cold || u.reportTaken.Before(s.holdUntil.Add(dispatchTimeout))) {
 		return 0
 	}
 	limit := max(s.pool.Limits.ColdRequests, 1)
@@ -166,8 +177,9 @@
 	}
 }
 
-// proveEnded frees slots of cancelled permits when a later report shows fewer
-// running requests than permits that may be among them.
+// proveEnded frees the slots of cancelled permits when a later report leaves no
+// room for any of them beside the live permits. A report that leaves room for
+// some does not tell which ones have ended.
 func (s *State) proveEnded(now time.Time, u *upstream) {
 	cutoff := u.reportTaken.Add(-dispatchTimeout)
 	bound := u.report.Running
@@ -180,8 +192,10 @@
 			bound++
 		}
 	}
-	surplus := len(u.permits) - bound
-	for _, p := range ended[:min(max(surplus, 0), len(ended))] {
+	if len(u.permits)-bound < len(ended) {
+		return
+	}
+	for _, p := range ended {
 		s.quarantine.Ended(p.request.Fingerprint, u.name)
 		s.drop(now, p)
 	}
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -212,7 +212,7 @@
 	if r.Incarnation != "" && u.incarnation != "" && r.Incarnation != u.incarnation {
 		s.restarted(now, u)
 	}
-	u.applyReport(now, r)
+	u.applyReport(now, r, s.reserve())
 	s.proveEnded(now, u)
 	s.proveReserve(u)
 }
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -65,8 +65,6 @@
 	holdUntil  time.Time
 	settleAt   time.Time
 	unsettled  bool
-	// complete is set when every permit of the previous owner is known.
-	complete bool
 }
 
 // New returns the state of a pool on which nothing runs.
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -47,7 +47,8 @@
 
 // endedPermit is a permit that a late report may still show as running.
 type endedPermit struct {
-	started time.Time
+	granted time.Time
+	started time.Time // zero when it never made progress
 	at      time.Time
 }
 
@@ -80,7 +81,10 @@
 	// unknown counts requests that the latest report shows beyond the known ones.
 	unknown int
 	// assumed stands for unknown until a report taken at or after assumedTil.
-	assumed    int
+	assumed int
+	// inTransit bounds the permits granted before the latest report that had not
+	// arrived when it was taken.
+	inTransit  int
 	assumedTil time.Time
 	ended      []endedPermit
 	// down is set from a loss until a report shows that the upstream answers again.
@@ -117,9 +121,7 @@
 	}
 	u.stale = true
 	u.ended = slices.DeleteFunc(u.ended, func(e endedPermit) bool { return now.Sub(e.at) > endedMemory })
-	if !p.started.IsZero() {
-		u.ended = append(u.ended, endedPermit{started: p.started, at: now})
-	}
+	u.ended = append(u.ended, endedPermit{granted: p.granted, started: p.started, at: now})
 }
 
 // refresh recomputes the predicted future of the batch.
@@ -142,7 +144,7 @@
 
 // applyReport compares a load report with the known running set. Reports may
 // come late and out of order; an older one than the latest is ignored.
-func (u *upstream) applyReport(now time.Time, r Report) {
+func (u *upstream) applyReport(now time.Time, r Report, reserve int) {
 	taken := now.Add(-r.Age)
 	u.report, u.reportTaken, u.hasReport = r, taken, true
 	if r.Incarnation != "" {
@@ -157,6 +159,28 @@
 		u.assumed = 0
 	}
 	u.countUnknown(taken)
+	u.countTransit(taken, reserve)
+}
+
+// countTransit compares the report with the permits granted before it. What it
+// does not show as running had not arrived or had ended. Up to reserve of the
+// requests that it shows may be the deputy's.
+func (u *upstream) countTransit(taken time.Time, reserve int) {
+	granted := 0
+	for _, p := range u.permits {
+		if p.granted.Before(taken) {
+			granted++
+		}
+	}
+	for _, e := range u.ended {
+		if e.granted.Before(taken) && !e.at.Before(taken) {
+			granted++
+		}
+	}
+	u.inTransit = granted
+	if !u.doubt {
+		u.inTransit = max(granted-max(u.report.Running-reserve, 0), 0)
+	}
 }
 
 // countUnknown compares a report with the permits that certainly ran when it was
@@ -174,7 +198,7 @@
 		}
 	}
 	for _, e := range u.ended {
-		if e.started.Before(taken) && e.at.After(taken) {
+		if !e.started.IsZero() && e.started.Before(taken) && e.at.After(taken) {
 			known++
 		}
 	}
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -16,7 +16,7 @@
 	request    Request
 	authority  *State // whom the holder reports to
 	granted    time.Time
-	sent       time.Time
+	sinceCold  bool // sent after the engine turned cold
 	dispatched bool
 	onEngine   bool
 	tokens     int
@@ -55,7 +55,7 @@
 	epoch      uint64
 	nextReq    int
 	incarnated map[string]int
-	coldSince  map[string]time.Time // no entry while warm
+	cold       map[string]bool
 	granted    int
 }
 
@@ -64,10 +64,10 @@
 	limits := entity.Limits{ColdRequests: cold, MaxRequests: 4 * cold, MemoryTokens: 1 << 20, TargetStep: 60 * time.Millisecond}
 	w := &world{
 		t: t, now: t0, pool: testPool(entity.KindEngine, rapid.IntRange(1, 3).Draw(t, "engines"), limits),
-		ids: map[uint64]bool{}, incarnated: map[string]int{}, coldSince: map[string]time.Time{},
+		ids: map[uint64]bool{}, incarnated: map[string]int{}, cold: map[string]bool{},
 	}
 	for _, u := range w.pool.Upstreams {
-		w.coldSince[u.Name] = w.now
+		w.cold[u.Name] = true
 	}
 	w.owner, w.deputy = w.fresh(false), w.fresh(true)
 	return w
@@ -122,7 +122,7 @@
 	count, alone := 0, 0
 	for _, r := range w.runs {
 		if r.permit.Upstream == p.Upstream && r.occupies(w.now) {
-			if since, cold := w.coldSince[p.Upstream]; cold && (!r.dispatched || !r.sent.Before(since)) {
+			if w.cold[p.Upstream] && (!r.dispatched || r.sinceCold) {
 				count++
 			}
 			if r.permit.Alone && s.permits[r.permit.ID] != nil {
@@ -154,7 +154,7 @@
 
 func (w *world) dispatch() {
 	if r := w.pick(func(r *run) bool { return !r.holderGone && !r.dispatched && r.occupies(w.now) }); r != nil {
-		r.dispatched, r.onEngine, r.sent = true, true, w.now
+		r.dispatched, r.onEngine, r.sinceCold = true, true, true
 	}
 }
 
@@ -205,7 +205,7 @@
 	if r := w.pick(func(r *run) bool { return !r.holderGone }); r != nil {
 		r.holderGone = true
 		if !r.dispatched && rapid.Bool().Draw(w.t, "dispatched-before") && r.occupies(w.now) {
-			r.onEngine, r.sent = true, w.now
+			r.onEngine, r.sinceCold = true, true
 		}
 		r.dispatched = true
 	}
@@ -224,8 +224,7 @@
 		}
 	}
 	incarnation := fmt.Sprint("i", w.incarnated[name])
-	_, cold := w.coldSince[name]
-	w.reports = append(w.reports, taken{Report{Upstream: name, Incarnation: incarnation, Cold: cold, Running: running}, w.now})
+	w.reports = append(w.reports, taken{Report{Upstream: name, Incarnation: incarnation, Cold: w.cold[name], Running: running}, w.now})
 }
 
 // deliverReport delivers a report late, and possibly out of order.
@@ -245,7 +244,7 @@
 func (w *world) crash() {
 	name := w.engine()
 	w.incarnated[name]++
-	w.coldSince[name] = w.now
+	w.cold[name] = true
 	for _, r := range w.runs {
 		if r.permit.Upstream == name && r.onEngine {
 			r.onEngine, r.holderGone = false, true
@@ -262,10 +261,11 @@
 // slow down, but they were not sent to a cold engine.
 func (w *world) turn() {
 	name := w.engine()
-	if _, cold := w.coldSince[name]; cold {
-		delete(w.coldSince, name)
-	} else {
-		w.coldSince[name] = w.now
+	w.cold[name] = !w.cold[name]
+	for _, r := range w.runs {
+		if r.permit.Upstream == name {
+			r.sinceCold = false
+		}
 	}
 }
 
