--- /dev/null
+++ b/e2e/answer_test.go
@@ -0,0 +1,72 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/callerclient"
+	"github.com/rattanscale/rattanscale/internal/permit"
+)
+
+// requireWhole requires that an answer holds each token of one generation once and in order.
+func requireWhole(t *testing.T, answer *callerclient.Answer, tokens int) {
+	t.Helper()
+	require.Len(t, answer.Tokens, tokens)
+	for i, text := range answer.Tokens {
+		require.Equal(t, fmt.Sprintf("%s-%d ", answer.Generation, i), text)
+	}
+}
+
+// result is the outcome of one request.
+type result struct {
+	service string
+	prompt  string
+	tokens  int
+	answer  *callerclient.Answer
+	err     error
+}
+
+// refusal returns the typed failure of the request, or nil.
+func (r result) refusal() *callerclient.Refusal {
+	var refusal *callerclient.Refusal
+	if errors.As(r.err, &refusal) {
+		return refusal
+	}
+	return nil
+}
+
+// one sends one generation to the host. It is not cut off by the end of a load.
+func (c *cluster) one(client *callerclient.Client, h *host, service, prompt string, tokens int) result {
+	ctx, cancel := context.WithTimeout(c.t.Context(), waitLimit)
+	defer cancel()
+	answer, err := client.Generate(ctx, callerclient.Request{Service: service, Prompt: prompt, AcceptRestart: true, Address: h.caller})
+	if err != nil {
+		time.Sleep(50 * time.Millisecond) // a caller that is refused does not spin
+	}
+	return result{service: service, prompt: prompt, tokens: tokens, answer: answer, err: err}
+}
+
+// waitFree waits until every host sees room for the number of requests at an upstream.
+func (c *cluster) waitFree(upstream string, requests int) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("room for %d requests at %s", requests, upstream), func() bool {
+		for _, h := range c.hosts {
+			s, ok := c.status(h)
+			if !ok || !slices.ContainsFunc(s.Observed.Pools, func(p permit.PoolStatus) bool {
+				return slices.ContainsFunc(p.Upstreams, func(u permit.UpstreamStatus) bool {
+					return u.Name == upstream && u.Reachable && u.Limit-u.Running >= requests
+				})
+			}) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -53,7 +53,7 @@
 	return b.String()
 }
 
-const warmLimits = "{cold-requests: 4, max-requests: 16, memory-tokens: 65536, target-step: 62ms}"
+const warmLimits = "{cold-requests: 8, max-requests: 16, memory-tokens: 65536, target-step: 62ms}"
 
 // small starts three daemons in two data centres, one engine and one plain service in each.
 func small(t *testing.T, engineArgs ...string) *cluster {
--- a/internal/callerclient/client.go
+++ b/internal/callerclient/client.go
@@ -47,6 +47,8 @@
 	Prompt        string
 	MaxTokens     int
 	AcceptRestart bool
+	// Address, when set, is used before the hosts that Hosts returns.
+	Address string
 	// OnToken receives the tokens as they arrive; after a restart they begin again.
 	OnToken func(text string)
 }
@@ -134,7 +136,10 @@
 	if err != nil {
 		return nil, err
 	}
-	addresses := make([]string, 0, len(hosts))
+	addresses := make([]string, 0, len(hosts)+1)
+	if request.Address != "" {
+		addresses = append(addresses, request.Address)
+	}
 	for _, h := range hosts {
 		addresses = append(addresses, h.Address)
 	}
