--- a/e2e/answer_test.go
+++ b/e2e/answer_test.go
@@ -69,4 +69,3 @@
 		return true
 	})
 }
-
--- /dev/null
+++ b/e2e/booking_test.go
@@ -0,0 +1,202 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/callerclient"
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+// booking is the outcome of one call that must not be repeated.
+type booking struct {
+	key    string
+	result *callerclient.CallResult
+	err    error
+}
+
+func (b booking) refusal() *callerclient.Refusal { return result{err: b.err}.refusal() }
+
+// book sends a call with the key to the host.
+func (c *cluster) book(h *host, key string) booking {
+	ctx, cancel := context.WithTimeout(c.t.Context(), waitLimit)
+	defer cancel()
+	got, err := c.client(h).Call(ctx, h.caller, "booking", key, []byte(`{"book":"`+key+`"}`))
+	return booking{key: key, result: got, err: err}
+}
+
+// bookAll sends a call for each key to each host, all at once.
+func (c *cluster) bookAll(keys []string, hosts ...*host) []booking {
+	out := make([]booking, len(keys)*len(hosts))
+	var calls sync.WaitGroup
+	for i := range out {
+		calls.Go(func() { out[i] = c.book(hosts[i%len(hosts)], keys[i/len(hosts)]) })
+	}
+	calls.Wait()
+	return out
+}
+
+// runs returns the runs of each key and of each request at all plain services.
+func (c *cluster) runs() (byKey, byRequest map[string]int) {
+	byKey, byRequest = map[string]int{}, map[string]int{}
+	for _, p := range c.plains {
+		s := stats[standin.PlainStats](p)
+		for key, n := range s.RunsByKey {
+			byKey[key] += n
+		}
+		for request, n := range s.RunsByRequest {
+			byRequest[request] += n
+		}
+	}
+	return byKey, byRequest
+}
+
+// requireOnce requires that no key ran twice, that no refused request ran, and
+// that each answer belongs to its key.
+func (c *cluster) requireOnce(t *testing.T, bookings []booking) map[string]int {
+	t.Helper()
+	byKey, byRequest := c.runs()
+	for key, n := range byKey {
+		require.LessOrEqual(t, n, 1, "key %s", key)
+	}
+	for _, b := range bookings {
+		if b.err == nil {
+			require.Equal(t, 200, b.result.Status)
+			require.Equal(t, `{"book":"`+b.key+`"}`, string(b.result.Body))
+			require.Equal(t, 1, byKey[b.key])
+			continue
+		}
+		if refusal := b.refusal(); refusal != nil && refusal.NotRun {
+			require.NotEmpty(t, refusal.Request)
+			require.Zero(t, byRequest[refusal.Request], "%s ran and was refused: %v", b.key, b.err)
+		}
+	}
+	return byKey
+}
+
+func keys(prefix string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s-%d", prefix, i)
+	}
+	return out
+}
+
+// Guards against calls that run although they cannot be recorded (R6, R7).
+func TestBookingIsRefusedWhileTheTableIsDown(t *testing.T) {
+	c := small(t)
+	c.table.fault(standin.Fault{Kind: standin.FaultDown})
+	names := keys("down", 10)
+	refused := c.bookAll(names, c.hosts...)
+	require.Empty(t, c.requireOnce(t, refused))
+	for _, b := range refused {
+		require.NotNil(t, b.refusal(), "%v", b.err)
+		require.Equal(t, failure.StoreUnavailable, b.refusal().Kind)
+		require.True(t, b.refusal().NotRun)
+	}
+	c.table.fault(standin.Fault{Kind: standin.FaultNone})
+	for _, key := range names {
+		c.eventually("book "+key, func() bool { return c.book(c.hosts[1], key).err == nil })
+	}
+	byKey := c.requireOnce(t, nil)
+	require.Len(t, byKey, len(names))
+}
+
+// Guards against a second run when the table service wrote a claim or an outcome
+// and its answer was lost (R6, R7).
+func TestBookingRunsOnceWhenTheTableLosesAnswers(t *testing.T) {
+	c := small(t)
+	names := keys("lost", 20)
+	c.table.fault(standin.Fault{Kind: standin.FaultLoseAnswer})
+	bookings := c.bookAll(names, c.hosts...)
+	c.requireOnce(t, bookings)
+	c.table.fault(standin.Fault{Kind: standin.FaultNone})
+	later := c.bookAll(names, c.hosts...)
+	byKey := c.requireOnce(t, append(bookings, later...))
+	for _, b := range later { // with the table in service a key that ran is not reported as not run
+		if refusal := b.refusal(); refusal != nil && byKey[b.key] > 0 {
+			require.False(t, refusal.NotRun, "%s: %v", b.key, b.err)
+		}
+	}
+	t.Logf("keys=%d ran=%d", len(names), len(byKey))
+}
+
+// Guards against a second run, and against a false "not run", when the daemon
+// that claimed the key is killed while the call runs (R6, R7).
+func TestBookingHolderKilledBetweenClaimAndAnswer(t *testing.T) {
+	c := smallWith(t, nil, []string{"-duration", "3s"})
+	holder := c.hosts[2]
+	names := keys("killed", 4)
+	first := make(chan []booking)
+	go func() { first <- c.bookAll(names, holder) }()
+	c.eventually("all calls run", func() bool { byKey, _ := c.runs(); return len(byKey) == len(names) })
+	holder.kill()
+	for _, b := range <-first {
+		require.Error(t, b.err)
+		require.Nil(t, b.refusal())
+	}
+	for range 3 {
+		again := c.bookAll(names, c.hosts[:2]...)
+		c.requireOnce(t, again)
+		for _, b := range again {
+			require.NotNil(t, b.refusal(), "%v", b.err)
+			require.Equal(t, failure.OutcomeUnknown, b.refusal().Kind)
+			require.False(t, b.refusal().NotRun)
+		}
+		time.Sleep(2 * time.Second) // also after the view has changed
+	}
+}
+
+// Guards against a repetition of a call that ran and whose answer was lost with
+// the connection to the plain service (R6, R7).
+func TestBookingThatRanAndLostItsAnswer(t *testing.T) {
+	c := small(t)
+	for _, p := range c.plains {
+		p.fault(standin.Fault{Kind: standin.FaultLoseAnswer})
+	}
+	names := keys("reset", 10)
+	bookings := c.bookAll(names, c.hosts[0])
+	for _, p := range c.plains {
+		p.fault(standin.Fault{Kind: standin.FaultNone})
+	}
+	bookings = append(bookings, c.bookAll(names, c.hosts...)...)
+	byKey := c.requireOnce(t, bookings)
+	require.Len(t, byKey, len(names))
+	for _, b := range bookings {
+		require.NotNil(t, b.refusal(), "%v", b.err)
+		require.Equal(t, failure.OutcomeUnknown, b.refusal().Kind)
+		require.False(t, b.refusal().NotRun)
+	}
+}
+
+// Guards against more than one run when many callers use one key at once (R7).
+func TestBookingOfManyCallersWithOneKey(t *testing.T) {
+	c := smallWith(t, nil, []string{"-duration", "200ms"})
+	const callers = 50
+	var calls sync.WaitGroup
+	bookings := make([]booking, callers)
+	for i := range callers {
+		calls.Go(func() { bookings[i] = c.book(c.hosts[i%len(c.hosts)], "one") })
+	}
+	calls.Wait()
+	byKey := c.requireOnce(t, bookings)
+	require.Equal(t, map[string]int{"one": 1}, byKey)
+	answered := 0
+	for _, b := range bookings {
+		var refusal *callerclient.Refusal
+		if b.err == nil {
+			answered++
+		} else if errors.As(b.err, &refusal) {
+			require.False(t, refusal.NotRun, "%v", b.err)
+		}
+	}
+	require.Positive(t, answered)
+	t.Logf("callers=%d answered=%d", callers, answered)
+}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -57,11 +57,16 @@
 
 // small starts three daemons in two data centres, one engine and one plain service in each.
 func small(t *testing.T, engineArgs ...string) *cluster {
+	t.Helper()
+	return smallWith(t, engineArgs, nil)
+}
+
+func smallWith(t *testing.T, engineArgs, plainArgs []string) *cluster {
 	t.Helper()
 	c := newCluster(t, "praha-1", "praha-1", "praha-2")
 	for _, dc := range []string{"praha-1", "praha-2"} {
 		c.engine(dc+"-e1", engineArgs...)
-		c.plain(dc + "-p1")
+		c.plain(dc+"-p1", plainArgs...)
 	}
 	c.apply(c.text(warmLimits))
 	c.waitReady()
