--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -61,7 +61,7 @@
 	return smallWith(t, engineArgs, nil)
 }
 
-func smallWith(t *testing.T, engineArgs, plainArgs []string) *cluster {
+func smallWith(t testing.TB, engineArgs, plainArgs []string) *cluster {
 	t.Helper()
 	c := newCluster(t, "praha-1", "praha-1", "praha-2")
 	for _, dc := range []string{"praha-1", "praha-2"} {
