--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,7 +142,7 @@
 	d.permits = permit.NewClient(d.client, d.members, d.log)
 	d.ledger = idempotency.New(d.table, s.Host.Name, time.Now)
 	d.statuses = newStatuses(d.follower.Configuration, d.tracker, d.client)
-	d.rollouts = newRollouts(d.follower.Configuration, d.tracker, d.client, d.log)
+	d.rollouts = newRollouts(d.follower.Configuration, d.tracker, d.client, d.statuses, d.log)
 	d.placing = newPlacements(d, engine)
 	d.relay = &relay.Relay{
 		Engine: engine, Plain: plain, Permits: d.permits, Ledger: d.ledger, Config: d.follower.Configuration,
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -50,6 +50,7 @@
 	tracker *membership.Tracker
 	caller  permit.Caller
 	commits committer
+	pools   relay.Pools
 	log     logr.Logger
 	self    membership.Identity
 
@@ -59,9 +60,9 @@
 	evidence map[string]*rollout.Evidence // of controlled rollouts, by change identifier
 }
 
-func newRollouts(config func() *entity.Configuration, tracker *membership.Tracker, caller permit.Caller, log logr.Logger) *rollouts {
+func newRollouts(config func() *entity.Configuration, tracker *membership.Tracker, caller permit.Caller, pools relay.Pools, log logr.Logger) *rollouts {
 	return &rollouts{
-		config: config, tracker: tracker, caller: caller, log: log, self: tracker.Snapshot().Self,
+		config: config, tracker: tracker, caller: caller, pools: pools, log: log, self: tracker.Snapshot().Self,
 		counters: map[string]*rollout.Counter{}, sent: map[string]sentReport{}, evidence: map[string]*rollout.Evidence{},
 	}
 }
@@ -177,6 +178,9 @@
 	case rollout.Continue:
 		return
 	case rollout.Step:
+		if !r.covered(service, running.To) {
+			return // the verdict comes again; the time for the step goes on
+		}
 		change.Kind, change.Step = entity.ChangeRolloutStep, verdict.Step
 		change.ID = fmt.Sprintf("%s-step-%d", running.ChangeID, verdict.Step)
 	case rollout.Finish:
@@ -189,6 +193,22 @@
 	}
 }
 
+// covered reports whether every pool in service that runs the version holds its model.
+func (r *rollouts) covered(service entity.Service, name string) bool {
+	conf := r.config()
+	version, _ := service.Version(name)
+	for _, poolName := range version.Pools {
+		p, ok := conf.Pool(poolName)
+		if !ok || conf.DataCentresOut[p.DataCentre] {
+			continue
+		}
+		if status, known := r.pools.Status(poolName); !known || !status.Holds(version.Model) {
+			return false
+		}
+	}
+	return true
+}
+
 // forget drops the evidence of rollouts that no longer run.
 func (r *rollouts) forget(live map[string]bool) {
 	r.mu.Lock()
--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -112,6 +112,15 @@
 	Accounts    []ClientAccount
 }
 
+// Version returns the version with the given name.
+func (s Service) Version(name string) (Version, bool) {
+	i := slices.IndexFunc(s.Versions, func(v Version) bool { return v.Name == name })
+	if i < 0 {
+		return Version{}, false
+	}
+	return s.Versions[i], true
+}
+
 // RolloutState is the state of one rollout in the configuration.
 type RolloutState string
 
--- a/internal/permit/messages.go
+++ b/internal/permit/messages.go
@@ -4,6 +4,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/pool"
@@ -118,6 +119,16 @@
 	return false
 }
 
+// Holds reports whether an upstream that can take work has loaded the model.
+func (s PoolStatus) Holds(model string) bool {
+	for _, u := range s.Upstreams {
+		if u.Reachable && !u.Leaving && (model == "" || len(u.Models) == 0 || slices.Contains(u.Models, model)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Free returns the number of requests that the pool could start now.
 func (s PoolStatus) Free() int {
 	free := 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,7 +142,7 @@
 	if err := r.checkDependencies(conf, call.Service); err != nil {
 		return target{}, err
 	}
-	version, step, err := pickVersion(conf, call.Service, call.fingerprint())
+	version, step, err := r.pickVersion(conf, call.Service, call.fingerprint())
 	if err != nil {
 		return target{}, err
 	}
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -11,13 +11,16 @@
 // pickVersion maps the fingerprint of a request to a version, by the rollout of
 // the service if there is one, else by the versions' shares. step is the rollout's
 // step, 0 outside a rollout.
-func pickVersion(conf *entity.Configuration, service entity.Service, fingerprint uint64) (version entity.Version, step int, err error) {
-	if r, ok := conf.Rollouts[service.Name]; ok {
-		name := rollout.Assign(r, service, fingerprint)
-		for _, v := range service.Versions {
-			if v.Name == name {
-				return v, r.Step, nil
-			}
+func (r *Relay) pickVersion(conf *entity.Configuration, service entity.Service, fingerprint uint64) (version entity.Version, step int, err error) {
+	if row, ok := conf.Rollouts[service.Name]; ok {
+		assigned, ok := service.Version(rollout.Assign(row, service, fingerprint))
+		// Requests stay on the old version until the new one's model is loaded, so
+		// that they do not wait for the weight store.
+		if ok && assigned.Name == row.To && !r.loaded(conf, assigned) {
+			assigned, ok = service.Version(row.From)
+		}
+		if ok {
+			return assigned, row.Step, nil
 		}
 	}
 	point := int(fingerprint % 100)
@@ -30,6 +33,20 @@
 	return entity.Version{}, 0, failure.NotRun(failure.NoUpstream, "service %s has no version with a share", service.Name)
 }
 
+// loaded reports whether some pool in service is known to hold the model of the version.
+func (r *Relay) loaded(conf *entity.Configuration, version entity.Version) bool {
+	for _, name := range version.Pools {
+		p, ok := conf.Pool(name)
+		if !ok || conf.DataCentresOut[p.DataCentre] {
+			continue
+		}
+		if status, known := r.Pools.Status(name); known && status.Holds(version.Model) {
+			return true
+		}
+	}
+	return false
+}
+
 // rankPools orders the pools of the version: pools of this data centre with free
 // capacity first, then pools by free capacity.
 func (r *Relay) rankPools(conf *entity.Configuration, version entity.Version) []entity.Pool {
