--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -46,6 +46,7 @@
 	// meanOutput is the mean expected output of the requests granted recently.
 	meanOutput   float64
 	runningNoted time.Time
+	lateUntil    time.Time
 	suspects     []Request
 	isolation    isolation
 	lengths      *admission.Predictor
@@ -64,8 +65,6 @@
 	holdUntil  time.Time
 	settleAt   time.Time
 	unsettled  bool
-	// complete is set when every permit of the previous owner is known.
-	complete bool
 }
 
 // New returns the state of a pool on which nothing runs.
