--- a/internal/ctl/changes.go
+++ b/internal/ctl/changes.go
@@ -56,21 +56,37 @@
 
 type hostCommand struct{ client }
 
-func (*hostCommand) Name() string     { return "host" }
-func (*hostCommand) Synopsis() string { return "list hosts, drain a host or let it return" }
-func (*hostCommand) Usage() string    { return "host list|drain|return [flags] [NAME]\n" }
+func (*hostCommand) Name() string { return "host" }
+func (*hostCommand) Synopsis() string {
+	return "list hosts, drain a host, let it return, or evict a dead one"
+}
+func (*hostCommand) Usage() string { return "host list|drain|return|evict [flags] [NAME]\n" }
 
 func (c *hostCommand) SetFlags(f *flag.FlagSet) { c.changeFlags(f) }
 
 func (c *hostCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	verb, names, ok := c.verb(f, "host", "list", "drain", "return")
+	verb, names, ok := c.verb(f, "host", "list", "drain", "return", "evict")
 	switch {
 	case ok && verb == "list" && len(names) == 0:
 		return c.printStatus(ctx, func(s operatorapi.Status) any { return s.Observed.Hosts }, c.printHosts)
+	case ok && verb == "evict" && len(names) == 1:
+		return c.evict(ctx, names[0])
 	case ok && verb != "list" && len(names) == 1:
 		return c.change(ctx, http.MethodPost, "/v1/hosts/"+url.PathEscape(names[0])+"/"+verb, "", nil)
 	}
-	return c.usage("usage: host list|drain|return [flags] [NAME]")
+	return c.usage("usage: host list|drain|return|evict [flags] [NAME]")
+}
+
+// evict removes a member whose process runs no more, for a cell that has lost its majority.
+func (c *hostCommand) evict(ctx context.Context, name string) subcommands.ExitStatus {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	response, err := c.do(ctx, http.MethodPost, "/v1/hosts/"+url.PathEscape(name)+"/evict", "", nil)
+	if err != nil {
+		return c.fail(err)
+	}
+	_ = response.Body.Close()
+	return subcommands.ExitSuccess
 }
 
 type rolloutCommand struct {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -87,6 +87,11 @@
 	return lo.MaxBy(service.Versions, func(a, b entity.Version) bool { return a.Share > b.Share }).Name
 }
 
+// Evict removes a member whose process runs no more.
+func (c *control) Evict(ctx context.Context, name, operator string) error {
+	return c.runner.Evict(ctx, name, operator)
+}
+
 // Outcome returns the state of a change, from the change log alone.
 func (c *control) Outcome(id string) (operatorapi.ChangeResult, bool) {
 	change, ok := c.follower.Find(id)
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -108,6 +108,8 @@
 type Control interface {
 	// Change commits a change on top of expect, or on the current revision when expect is 0.
 	Change(ctx context.Context, change entity.Change, expect uint64) (ChangeResult, error)
+	// Evict removes a member at the operator's word that its process runs no more.
+	Evict(ctx context.Context, name, operator string) error
 	// Outcome returns the state of a change; ok is false when the change is unknown.
 	Outcome(id string) (result ChangeResult, ok bool)
 	Status() Status
@@ -163,7 +165,6 @@
 			writeFailure(w, err)
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, s.BodyBytes)
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
 	})
 }
@@ -202,7 +203,7 @@
 func (s *Server) registerChanges(api huma.API) {
 	huma.Put(api, "/v1/text", func(ctx context.Context, in *applyInput) (*changeOutput, error) {
 		return s.change(ctx, in.Expect, entity.Change{Kind: entity.ChangeApply, Text: string(in.RawBody)})
-	})
+	}, func(o *huma.Operation) { o.MaxBodyBytes = s.BodyBytes })
 	named := func(path string, kind entity.ChangeKind) {
 		huma.Post(api, path, func(ctx context.Context, in *nameInput) (*changeOutput, error) {
 			return s.change(ctx, in.Expect, entity.Change{Kind: kind, Name: in.Name})
@@ -212,6 +213,12 @@
 	named("/v1/data-centres/{name}/bring-back", entity.ChangeBringBack)
 	named("/v1/hosts/{name}/drain", entity.ChangeHostDrain)
 	named("/v1/hosts/{name}/return", entity.ChangeHostReturn)
+	huma.Post(api, "/v1/hosts/{name}/evict", func(ctx context.Context, in *nameInput) (*struct{}, error) {
+		if err := s.Control.Evict(ctx, in.Name, operator(ctx)); err != nil {
+			return nil, problem(err)
+		}
+		return nil, nil
+	})
 	huma.Post(api, "/v1/services/{service}/rollout/start", func(ctx context.Context, in *rolloutInput) (*changeOutput, error) {
 		change := entity.Change{Kind: entity.ChangeRolloutStart, Service: in.Service, To: in.Body.To}
 		if in.Body.FinishWithin != "" {
--- a/internal/operatorapi/problem.go
+++ b/internal/operatorapi/problem.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/danielgtaylor/huma/v2"
+
 	"github.com/rattanscale/rattanscale/internal/failure"
 )
 
@@ -19,6 +21,25 @@
 // GetStatus returns the HTTP status.
 func (p *problemBody) GetStatus() int { return p.status }
 
+// init makes huma's own refusals, such as input of the wrong form, typed failures.
+func init() { huma.NewError = validationError }
+
+func validationError(status int, message string, causes ...error) huma.StatusError {
+	kind := failure.InvalidRequest
+	switch {
+	case status == http.StatusNotFound:
+		kind = failure.NotFound
+	case status == http.StatusRequestEntityTooLarge:
+		kind = failure.BodyTooLarge
+	case status >= http.StatusInternalServerError:
+		kind = failure.Internal
+	}
+	for _, cause := range causes {
+		message += "; " + cause.Error()
+	}
+	return &problemBody{Body: failure.NotRun(kind, "%s", message).Body(""), status: status}
+}
+
 func problem(err error) error {
 	f := failure.From(err)
 	return &problemBody{Body: f.Body(""), status: f.Status()}
