--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -96,12 +96,12 @@
 // the same engine, and reports the daemon's processor time for each token.
 func BenchmarkRelayCost(b *testing.B) {
 	c := newCluster(b, "praha-1")
-	engine := c.engine("praha-1-e1", "-base-step", "5ms", "-step-per-request", "0s", "-step-per-kilotoken", "0s")
-	c.apply(c.text("{cold-requests: 32, max-requests: 64, memory-tokens: 65536, target-step: 62ms}"))
+	engine := c.engine("praha-1-e1", "-base-step", "2ms", "-step-per-request", "0s", "-step-per-kilotoken", "0s")
+	c.apply(c.text("{cold-requests: 64, max-requests: 64, memory-tokens: 65536, target-step: 62ms}"))
 	c.waitReady()
 	client := c.client(c.hosts[0])
 	c.generate(client, "restart", 10)
-	const streams, tokens = 8, 200
+	const streams, tokens = 24, 500
 	var through, straight timing
 	relayed := 0
 	before := c.hosts[0].processorTime()
