Keep long requests off upstreams that run many short ones

At saturation the answers with slow gaps were all short lookups, which may have one slow gap at most.

--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -21,8 +21,8 @@
 	// target. The tight share applies while requests wait most of the time, because
 	// a larger batch then adds little throughput and only lengthens the steps. It
 	// does not apply while a request may miss its finishing time.
-	easyShare  = 0.86
-	tightShare = 0.78
+	easyShare  = 0.88
+	tightShare = 0.76
 	// longQuantile is the share of outputs that are shorter than the one for which
 	// the finishing time of a batch leaves room.
 	longQuantile = 0.99
@@ -31,7 +31,7 @@
 	// pressureTime is the time constant with which the share of time with waiting
 	// requests is averaged, and fullPressure the share from which on it is lasting.
 	pressureTime = 10 * time.Second
-	fullPressure = 0.5
+	fullPressure = 0.3
 	// throughputWindow is the interval over which the rate of grants is measured.
 	throughputWindow = time.Second
 	throughputWeight = 0.2
@@ -39,6 +39,10 @@
 	runningInterval = time.Second
 	// outputWeight averages the expected output over about 50 grants.
 	outputWeight = 0.02
+	// shortPenalty is the load that a long request sees in each short one that runs
+	// on an upstream. Short answers have too few gaps to make up for a slow one, so
+	// long requests leave the upstreams that run many of them a little less loaded.
+	shortPenalty = 0.01
 	// longOutput is the multiple of the mean expected output from which on a
 	// request avoids cold upstreams while a warm one may serve it. Cold upstreams
 	// become warm by completed requests, and every step on them is slow.
@@ -183,6 +187,9 @@
 			u.rejected = size
 			continue
 		}
+		if size.output > s.meanOutput {
+			share += shortPenalty * float64(u.short)
+		}
 		lowest = min(lowest, share)
 		cached := u.prefixes != nil && u.prefixes.Holds(r.PrefixHash)
 		s.candidates = append(s.candidates, routing.Candidate{Name: u.name, Load: share, Cached: cached})
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -42,6 +42,10 @@
 	s.requests[p.RequestID] = p
 	u.permits = append(u.permits, p)
 	s.link(p)
+	if p.expected-float64(p.request.PromptTokens) <= s.meanOutput {
+		p.short = true
+		u.short++
+	}
 	if p.Alone {
 		u.alone++
 		s.isolation.begin(p)
@@ -63,6 +67,9 @@
 	if p.Alone {
 		p.upstream.alone--
 	}
+	if p.short {
+		p.upstream.short--
+	}
 	p.upstream.remove(now, p)
 	s.isolation.ended(now, s, p)
 }
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -34,6 +34,7 @@
 	tokens      int
 	grew        time.Time // last progress with a new token
 	completed   bool
+	short       bool
 	meanStep    time.Duration
 	expected    float64 // cost charged at the grant
 	cancelling  bool
@@ -65,6 +66,7 @@
 	tracker     coldstart.Tracker
 	model       admission.StepModel
 	permits     []*permit
+	short       int // permits whose expected output is at most the mean
 	alone       int // permits that must have the upstream to themselves
 	profile     admission.Profile
 	stale       bool
