--- /dev/null
+++ b/internal/docs/operations_test.go
@@ -0,0 +1,94 @@
+// Package docs checks the documentation against the code.
+package docs
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/settings"
+)
+
+func page(t *testing.T) string {
+	text, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	return string(text)
+}
+
+// requireRow requires a table row whose first cell is the name and that holds the parts.
+func requireRow(t *testing.T, page, name string, parts ...string) {
+	t.Helper()
+	missing := func(line string) bool {
+		return slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) })
+	}
+	for line := range strings.Lines(page) {
+		if strings.HasPrefix(line, "| `"+name+"` |") && !missing(line) {
+			return
+		}
+	}
+	t.Errorf("docs/operations.md has no row for `%s` with %q", name, parts)
+}
+
+// Guards against a setting that operators cannot find.
+func TestSettingsAreDocumented(t *testing.T) {
+	text := page(t)
+	var visit func(prefix string, row reflect.Type)
+	visit = func(prefix string, row reflect.Type) {
+		for i := range row.NumField() {
+			field := row.Field(i)
+			path := prefix + strings.Split(field.Tag.Get("yaml"), ",")[0]
+			if field.Type.Kind() == reflect.Struct {
+				visit(path+".", field.Type)
+				continue
+			}
+			requireRow(t, text, path)
+		}
+	}
+	visit("", reflect.TypeFor[settings.Settings]())
+}
+
+// Guards against error kinds whose status or remedy differs from the page.
+func TestErrorKindsAreDocumented(t *testing.T) {
+	text := page(t)
+	for kind, remedy := range failure.Kinds() {
+		requireRow(t, text, string(kind), fmt.Sprintf("| %d |", failure.New(kind, "").Status()), remedy)
+	}
+}
+
+// Guards against metrics, timeline events and log messages that are missing from
+// the page. They are found in the sources as literals.
+func TestEmittedNamesAreDocumented(t *testing.T) {
+	literals := []*regexp.Regexp{
+		regexp.MustCompile(`"(rattanscale_[a-z_]+)`),
+		regexp.MustCompile(`[rR]ecord\("([^"]+)"`),
+		regexp.MustCompile(`(?:[lL]og|[lL]ogger|V\(1\))\.(?:Info|Error)\((?:[^"]*, )?"([^"]+)"`),
+		regexp.MustCompile(`[lL]ogger\.Error\(fmt\.Errorf\("[^"]*", \w+\), "([^"]+)"`),
+	}
+	text, found := page(t), make([]int, len(literals))
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for i, literal := range literals {
+			for _, match := range literal.FindAllSubmatch(source, -1) {
+				found[i]++
+				if name := string(match[1]); !strings.Contains(name, "%") {
+					requireRow(t, text, name)
+				}
+			}
+		}
+		return err
+	})
+	require.NoError(t, err)
+	require.NotContains(t, found, 0, "an expression matches nothing in the sources")
+}
