Ask for a load report at once when a grant waits for it; test owners with running streams

The fake requests of the owner test made no progress, so the state rightly counted them beside the engine's report and the fifth never fitted.

--- a/internal/permit/healthchecks.go
+++ b/internal/permit/healthchecks.go
@@ -20,6 +20,9 @@
 	reachable  bool
 	failures   int
 	events     uint64 // last cache event seen
+	// wake asks for a report before the regular interval is over.
+	wake  chan struct{}
+	asked time.Time
 }
 
 // syncPollers starts and stops pollers to match the configuration. The caller holds the lock.
@@ -39,7 +42,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(w.ctx)
-		p := &poller{address: address, cancel: cancel, reachable: true}
+		p := &poller{address: address, cancel: cancel, reachable: true, wake: make(chan struct{}, 1)}
 		w.polls[name] = p
 		go w.poll(ctx, name, p, w.conf.Kind)
 	}
@@ -54,6 +57,24 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-p.wake:
+		}
+	}
+}
+
+// wantReports polls upstreams whose next grant waits for a load report. The
+// caller holds the lock.
+func (w *owned) wantReports(names []string) {
+	now := w.owner.now()
+	for _, name := range names {
+		p := w.polls[name]
+		if p == nil || now.Sub(p.asked) < urgentPollInterval {
+			continue
+		}
+		p.asked = now
+		select {
+		case p.wake <- struct{}{}:
+		default:
 		}
 	}
 }
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -236,6 +236,7 @@
 			go w.cancelAtUpstream(w.ctx, c)
 		}
 	}
+	w.wantReports(w.state.ReportsWanted(w.owner.now()))
 	if notices := w.state.Notices(); len(notices) > 0 {
 		go w.owner.Notify(notices)
 	}
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -25,6 +25,8 @@
 	// pollInterval is the time between load reports of an upstream.
 	pollInterval = 250 * time.Millisecond
 	pollTimeout  = 500 * time.Millisecond
+	// urgentPollInterval is the time between reports while a request waits for one.
+	urgentPollInterval = 50 * time.Millisecond
 	// lostAfter is the number of failed polls in a row after which an upstream is lost.
 	lostAfter     = 3
 	cancelTimeout = time.Second
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -103,7 +103,7 @@
 		Name: "p", Kind: entity.KindEngine, Limits: entity.Limits{ColdRequests: 2, MaxRequests: 4, TargetStep: 62 * time.Millisecond},
 		Upstreams: []entity.Upstream{{Name: "e1", Address: "e1", Pool: "p"}},
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	w := &world{
 		cell: &cell{owner: names[0], owners: map[string]*Owner{}}, engine: &warmEngine{}, ctx: ctx,
@@ -134,6 +134,20 @@
 	}
 }
 
+// produce receives tokens at a normal speed until the test ends.
+func (w *world) produce(h *Held) {
+	ticker := time.NewTicker(40 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-ticker.C:
+			h.Token()
+		}
+	}
+}
+
 func request(id string) pool.Request {
 	return pool.Request{ID: id, Service: "s", Account: "a", Weight: 1, MaxQueued: 10, PromptTokens: 10}
 }
@@ -149,7 +163,7 @@
 			h, err := holder.Acquire(t.Context(), "p", request(id))
 			require.NoError(t, err)
 			w.engine.running.Add(1)
-			h.Token()
+			go w.produce(h)
 			time.Sleep(time.Second)
 			held = append(held, h)
 		}
