--- /dev/null
+++ b/e2e/leaving_test.go
@@ -0,0 +1,88 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+// writeList replaces the platform's host list.
+func (c *cluster) writeList(rows []map[string]any) {
+	c.t.Helper()
+	body, err := json.Marshal(rows)
+	require.NoError(c.t, err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.list.addr+"/hosts", bytes.NewReader(body))
+	require.NoError(c.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(c.t, err)
+	require.NoError(c.t, response.Body.Close())
+}
+
+// Guards against new work on an upstream whose host the platform lists as leaving.
+func TestUpstreamOnALeavingHostGetsNoNewWork(t *testing.T) {
+	c := small(t)
+	client := c.client(c.hosts[0])
+	c.generate(client, "restart", 10)
+	c.writeList([]map[string]any{{"name": "e", "address": c.engines["praha-1-e1"].addr, "leaving": true}})
+	c.eventually("the owner sees that the upstream is leaving", func() bool {
+		s, ok := c.status(c.hosts[0])
+		for _, p := range s.Observed.Pools {
+			for _, u := range p.Upstreams {
+				if ok && u.Name == "praha-1-e1" && u.Leaving {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	before := started(c.engines["praha-1-e1"])
+	for range 5 {
+		c.generate(client, "restart", 10)
+	}
+	require.Equal(t, before, started(c.engines["praha-1-e1"]))
+}
+
+func started(engine *process) int {
+	total := 0
+	for _, n := range stats[standin.EngineStats](engine).Starts {
+		total += n
+	}
+	return total
+}
+
+// Guards against callers on a host that operators drain: it leaves the answers,
+// then refuses new work as not run and names another host, and returns.
+func TestOperatorsDrainAHost(t *testing.T) {
+	c := small(t)
+	c.mustCtl(c.hosts[1], "host", "drain", "-wait", "h1")
+	client := c.client(c.hosts[0])
+	c.eventually("h1 leaves the answers", func() bool {
+		hosts, err := client.Hosts(t.Context())
+		if err != nil {
+			return false
+		}
+		for _, h := range hosts {
+			if h.Name == "h1" {
+				return false
+			}
+		}
+		return true
+	})
+	c.eventually("h1 refuses new work", func() bool {
+		_, err := client.Call(t.Context(), c.hosts[0].caller, "lookup", "", []byte("{}"))
+		refusal := result{err: err}.refusal()
+		return refusal != nil && refusal.Kind == failure.Draining && refusal.NotRun && refusal.Host != ""
+	})
+	c.generate(client, "restart", 10) // through another host
+	c.mustCtl(c.hosts[1], "host", "return", "-wait", "h1")
+	c.eventually("h1 takes new work again", func() bool {
+		_, err := client.Call(t.Context(), c.hosts[0].caller, "lookup", "", []byte("{}"))
+		return err == nil
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,7 @@
 	rollouts *rollouts
 	placing  *placements
 	trace    *recording
+	leaving  *leaving
 	control  *control
 	relay    *relay.Relay
 	caller   *callerapi.Server
@@ -102,7 +103,9 @@
 	}
 	d.server, d.client = peer.New(options)
 	d.events = &events{d.recorder}
-	d.buildMembership(do.MustInvoke[platform.HostList](i))
+	hosts := do.MustInvoke[platform.HostList](i)
+	d.leaving = &leaving{list: hosts}
+	d.buildMembership(hosts)
 	d.members = members{d.tracker}
 	if d.trace, err = newRecording(s.TraceFile, d.follower.Configuration, d.log); err != nil {
 		return nil, failure.New(failure.InvalidSettings, "trace-file: %v", err)
@@ -130,7 +133,8 @@
 
 // localState is what this daemon tells the others about itself.
 func (d *Daemon) localState() membership.Local {
-	return membership.Local{Draining: d.drain.leaving.Load(), Streams: d.caller.OpenStreams()}
+	draining := d.drain.leaving.Load() || !d.drainedSince(time.Now()).IsZero()
+	return membership.Local{Draining: draining, Streams: d.caller.OpenStreams()}
 }
 
 // buildDecisions builds the parts that decide who may send and that relay requests.
@@ -202,7 +206,7 @@
 	go func() { membershipEnded <- d.runner.Run(member) }()
 	var running sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.placing.run, d.trace.run, d.syncPools,
+		d.owner.Run, d.permits.Run, d.ledger.Run, d.statuses.run, d.rollouts.run, d.placing.run, d.trace.run, d.followHostList, d.syncPools,
 	} {
 		running.Go(func() { loop(work) })
 	}
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +22,27 @@
 	// refusing is set once new work is refused.
 	refusing atomic.Bool
 	handover chan struct{}
+
+	mu    sync.Mutex
+	since time.Time // when operators or the platform began to want a drain
 }
 
 func newDrain() *drain { return &drain{handover: make(chan struct{})} }
 
-// run carries out a planned stop: it leaves the answers to callers, waits until
+// wanted notes whether a drain is wanted now and returns since when it is.
+func (d *drain) wanted(now time.Time, wanted bool) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case !wanted:
+		d.since = time.Time{}
+	case d.since.IsZero():
+		d.since = now
+	}
+	return d.since
+}
+
+// drainAll carries out a planned stop: it leaves the answers to callers, waits until
 // callers no longer use old answers, refuses new work, lets streams finish up to
 // the limit and hands the rest over.
 func (d *Daemon) drainAll(ctx context.Context) {
@@ -57,8 +74,10 @@
 
 // accepting returns a typed failure when this host takes no new work.
 func (d *Daemon) accepting() error {
-	if d.drain.refusing.Load() {
-		refusal := failure.NotRun(failure.Draining, "host %s is stopping", d.settings.Host.Name)
+	since := d.drainedSince(time.Now())
+	drained := !since.IsZero() && time.Since(since) >= d.settings.Drain.Announce
+	if d.drain.refusing.Load() || drained && !d.alone() {
+		refusal := failure.NotRun(failure.Draining, "host %s takes no new work", d.settings.Host.Name)
 		if others := d.otherHosts(); len(others) > 0 {
 			refusal = refusal.WithHost(others[0])
 		}
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,17 +94,34 @@
 	}
 }
 
-func (w *owned) configure(p entity.Pool, out bool) {
+func (w *owned) configure(p entity.Pool, out bool, leaving func(string) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conf, w.out = p, out
-	w.state.SetPool(w.owner.now(), p, out)
+	w.apply(leaving)
 	if w.ctx != nil {
 		w.syncPollers()
 	}
 	w.decide()
 }
 
+func (w *owned) reconfigure(leaving func(string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.apply(leaving)
+	w.decide()
+}
+
+// apply gives the state the configuration with the upstreams on leaving hosts marked.
+func (w *owned) apply(leaving func(string) bool) {
+	p := w.conf
+	p.Upstreams = slices.Clone(p.Upstreams)
+	for i, u := range p.Upstreams {
+		p.Upstreams[i].Leaving = u.Leaving || leaving(u.Address)
+	}
+	w.state.SetPool(w.owner.now(), p, w.out)
+}
+
 // deputyIs tells the state when the deputy changes: the previous one may grant
 // until its lease ends.
 func (w *owned) deputyIs(name string) {
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -53,8 +53,9 @@
 	// Reserve leaves room for a deputy; it is off when the cell can only have one member.
 	Reserve bool
 
-	mu    sync.Mutex
-	pools map[digestKey]*owned
+	mu      sync.Mutex
+	pools   map[digestKey]*owned
+	leaving func(address string) bool
 }
 
 // NewOwner returns an Owner without pools; Sync gives it pools.
@@ -62,6 +63,22 @@
 	return &Owner{
 		members: members, engine: engine, plain: plain, events: events, log: log, now: time.Now,
 		Notify: func([]quarantine.Notice) {}, Reserve: true, pools: map[digestKey]*owned{},
+		leaving: func(string) bool { return false },
+	}
+}
+
+// SetLeaving marks the upstreams at the addresses for which leaving is true: they
+// get no new work.
+func (o *Owner) SetLeaving(leaving func(address string) bool) {
+	o.mu.Lock()
+	o.leaving = leaving
+	pools := make([]*owned, 0, len(o.pools))
+	for _, own := range o.pools {
+		pools = append(pools, own)
+	}
+	o.mu.Unlock()
+	for _, own := range pools {
+		own.reconfigure(leaving)
 	}
 }
 
@@ -90,12 +107,12 @@
 	for key, p := range wanted {
 		out := conf.DataCentresOut[p.DataCentre]
 		if own := o.pools[key]; own != nil {
-			own.configure(p, out)
+			own.configure(p, out, o.leaving)
 			own.deputyIs(o.deputyOf(key))
 			continue
 		}
 		own := o.newOwned(key, p, epoch)
-		own.configure(p, out)
+		own.configure(p, out, o.leaving)
 		own.deputy = o.deputyOf(key)
 		o.pools[key] = own
 		own.start(ctx)
