--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -25,7 +25,7 @@
 
 func newDrain() *drain { return &drain{handover: make(chan struct{})} }
 
-// run carries out a planned stop: it leaves the answers to callers, waits until
+// drainAll carries out a planned stop: the host leaves the answers to callers, waits until
 // callers no longer use old answers, refuses new work, lets streams finish up to
 // the limit and hands the rest over.
 func (d *Daemon) drainAll(ctx context.Context) {
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -2,7 +2,7 @@
 
 import "github.com/rattanscale/rattanscale/internal/timeline"
 
-// events records the time line of this daemon. It implements the Events
+// events records the timeline of this daemon. It implements the Events
 // interfaces of relay and permit and is safe for concurrent use.
 type events struct{ recorder *timeline.Recorder }
 
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -32,7 +32,7 @@
 	leaseTerm = 3 * time.Second
 )
 
-// Events records the time line. Implementations are safe for concurrent use.
+// Events records the timeline. Implementations are safe for concurrent use.
 type Events interface {
 	Record(kind, request string, attributes ...string)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,7 +35,7 @@
 	Status(poolName string) (permit.PoolStatus, bool)
 }
 
-// Events records the time line. Implementations are safe for concurrent use.
+// Events records the timeline. Implementations are safe for concurrent use.
 type Events interface {
 	Record(kind, request string, attributes ...string)
 }
