--- a/internal/pool/decide_test.go
+++ b/internal/pool/decide_test.go
@@ -155,10 +155,15 @@
 	bad.ID = "again"
 	granted, _ := acquire(s, now, bad)
 	require.Empty(t, granted, "a suspect waits for an empty upstream")
+	reserved := s.isolation.upstream.name
+	s.Lose(now.Add(10*time.Second), reserved)
+	now = now.Add(11 * time.Second)
+	s.Report(now, Report{Upstream: first[0].Upstream, Incarnation: "2", Cold: true})
+	alone := grants(s.Decide(now))
+	require.NotEqual(t, reserved, s.isolation.upstream.name, "a lost upstream cannot stay reserved")
 	for _, p := range busy {
 		s.Release(now, p.ID, Completed, 10)
 	}
-	alone := grants(s.Decide(now))
 	require.Len(t, alone, 1)
 	require.True(t, alone[0].Alone)
 	other, _ := acquire(s, now, request(20))
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -96,7 +96,7 @@
 		return
 	}
 	r := s.suspects[0]
-	if i.upstream == nil || slices.Contains(r.Exclude, i.upstream.name) || i.upstream.report.Leaving {
+	if i.upstream == nil || !s.mayServe(i.upstream, &r) || s.isDown(now, i.upstream) {
 		i.upstream = s.reservable(now, &r)
 	}
 	u := i.upstream
