--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -10,7 +10,9 @@
 // filled returns a warm pool whose upstreams each run some requests that are half done.
 func filled(upstreams, running int) (*State, []Permit) {
 	limits := engineLimits
-	limits.MaxRequests, limits.MemoryTokens = 2*running, 4096*running
+	// A high cold limit lets the pool fill without a report for every few grants.
+	limits.ColdRequests, limits.MaxRequests, limits.MemoryTokens = 2*running, 2*running, 4096*running
+	limits.TargetStep = time.Second
 	s := New(Config{Pool: testPool("engine", upstreams, limits)})
 	for _, u := range s.upstreams {
 		s.Report(t0.Add(time.Second), Report{Upstream: u.name, Incarnation: "i"})
@@ -20,6 +22,9 @@
 		s.Acquire(now, request(i))
 	}
 	permits := grants(s.Decide(now))
+	if len(permits) != upstreams*running {
+		panic(fmt.Sprintf("%d of %d requests run", len(permits), upstreams*running))
+	}
 	digest := make([]Progress, 0, len(permits))
 	for i, p := range permits {
 		digest = append(digest, Progress{PermitID: p.ID, Tokens: 10 + i%200, StepTime: 20 * time.Millisecond})
@@ -57,7 +62,7 @@
 			s, permits := filled(32, 24)
 			for i := range queued {
 				r := request(len(permits) + i)
-				r.PromptTokens = 90000 // fits nowhere while others run
+				r.PromptTokens = 4096*24 - 1 // fits nowhere while others run
 				r.Account = fmt.Sprint("a", i%20)
 				s.Acquire(t0.Add(3*time.Second), r)
 			}
