--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -23,9 +23,6 @@
 // take serves the next n requests.
 func take(q *Queue[int], now time.Time, n int) []Item[int] {
 	var out []Item[int]
-	if n == 0 {
-		return nil
-	}
 	q.Scan(now, func(it *Item[int]) Verdict {
 		if len(out) == n {
 			return Stop
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -97,69 +97,56 @@
 	return m.HeapAlloc
 }
 
-// reportBytes reports the memory that build allocates and keeps, for each entity.
-func reportBytes(b *testing.B, entities int, unit string, build func() any) {
-	b.Helper()
-	total := 0.0
-	for b.Loop() {
-		before := heap()
-		kept := build()
-		total += float64(heap()) - float64(before)
-		runtime.KeepAlive(kept)
-	}
-	b.ReportMetric(total/float64(b.N*entities), unit)
-}
-
-func BenchmarkBytesPerUpstream(b *testing.B) {
-	for _, n := range []int{32, 512} {
-		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
-			reportBytes(b, n, "bytes/upstream", func() any { return New(Config{Pool: testPool("engine", n, engineLimits)}) })
-		})
-	}
-}
-
-func BenchmarkBytesPerPermit(b *testing.B) {
-	for _, running := range []int{8, 32} {
-		b.Run(fmt.Sprintf("running=%d", running), func(b *testing.B) {
-			reportBytes(b, 64*running, "bytes/permit", func() any {
-				s, _ := filled(64, running)
-				return s
-			})
+// BenchmarkBytes reports the memory that is allocated and kept for each entity.
+func BenchmarkBytes(b *testing.B) {
+	for _, c := range []struct {
+		entity   string
+		entities int
+		build    func() *State
+	}{
+		{"upstream", 32, func() *State { return New(Config{Pool: testPool("engine", 32, engineLimits)}) }},
+		{"upstream", 512, func() *State { return New(Config{Pool: testPool("engine", 512, engineLimits)}) }},
+		{"permit", 64 * 8, func() *State { s, _ := filled(64, 8); return s }},
+		{"permit", 64 * 32, func() *State { s, _ := filled(64, 32); return s }},
+		{"queued", 1000, func() *State { return queued(1000) }},
+		{"queued", 10000, func() *State { return queued(10000) }},
+		{"account", 100, func() *State { return served(100) }},
+		{"account", 1000, func() *State { return served(1000) }},
+	} {
+		b.Run(fmt.Sprintf("%ss=%d", c.entity, c.entities), func(b *testing.B) {
+			total := 0.0
+			for b.Loop() {
+				before := heap()
+				kept := c.build()
+				total += float64(heap()) - float64(before)
+				runtime.KeepAlive(kept)
+			}
+			b.ReportMetric(total/float64(b.N*c.entities), "bytes/"+c.entity)
 		})
 	}
 }
 
-func BenchmarkBytesPerQueued(b *testing.B) {
-	for _, n := range []int{1000, 10000} {
-		b.Run(fmt.Sprintf("queued=%d", n), func(b *testing.B) {
-			reportBytes(b, n, "bytes/request", func() any {
-				s := New(Config{Pool: testPool("engine", 1, engineLimits)})
-				for i := range n {
-					r := request(i)
-					r.Deadline = t0.Add(time.Hour)
-					s.Acquire(t0, r)
-				}
-				return s
-			})
-		})
+// queued returns a pool in which all but a few of n requests wait.
+func queued(n int) *State {
+	s := New(Config{Pool: testPool("engine", 1, engineLimits)})
+	for i := range n {
+		r := request(i)
+		r.Deadline = t0.Add(time.Hour)
+		s.Acquire(t0, r)
 	}
+	return s
 }
 
-func BenchmarkBytesPerAccount(b *testing.B) {
-	for _, n := range []int{100, 1000} {
-		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
-			reportBytes(b, n, "bytes/account", func() any {
-				s := New(Config{Pool: testPool("engine", 8, engineLimits)})
-				for i := range n {
-					r := request(i)
-					r.Account = fmt.Sprint("account", i)
-					s.Acquire(t0, r)
-					for _, p := range grants(s.Decide(t0)) {
-						s.Release(t0, p.ID, Completed, 100)
-					}
-				}
-				return s
-			})
-		})
+// served returns a pool that has completed a request of each of n accounts.
+func served(n int) *State {
+	s := New(Config{Pool: testPool("engine", 8, engineLimits)})
+	for i := range n {
+		r := request(i)
+		r.Account = fmt.Sprint("account", i)
+		s.Acquire(t0, r)
+		for _, p := range grants(s.Decide(t0)) {
+			s.Release(t0, p.ID, Completed, 100)
+		}
 	}
+	return s
 }
--- a/internal/pool/state_test.go
+++ b/internal/pool/state_test.go
@@ -23,10 +23,8 @@
 var engineLimits = entity.Limits{ColdRequests: 2, MaxRequests: 8, MemoryTokens: 8192, TargetStep: 60 * time.Millisecond}
 
 func request(i int) Request {
-	return Request{
-		ID: fmt.Sprint("r", i), Fingerprint: uint64(i + 1), Service: "s", Account: "a",
-		Weight: 1, Priority: 5, PromptTokens: 50,
-	}
+	id := fmt.Sprint("r", i)
+	return Request{ID: id, Fingerprint: uint64(i + 1), Service: "s", Account: "a", Weight: 1, Priority: 5, PromptTokens: 50}
 }
 
 func grants(commands []Command) []Permit {
