Return from the deputy to the owner of a pool

A requester that met an owner without its lease for a moment stayed with the deputy until its deadline, although the deputy had no reserve to give.

--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -20,6 +20,8 @@
 	// acquireWait is how long one acquire call may wait at the owner. It is far
 	// below Term, because the holder counts the term from the start of the call.
 	acquireWait = 2 * time.Second
+	// deputyWait is the same for a deputy, whose reserve is either free or not.
+	deputyWait = 250 * time.Millisecond
 	// callTimeout bounds a call to a peer beyond the time that the peer may wait.
 	callTimeout = time.Second
 	// retryPause separates attempts while the pool has no owner that may grant.
@@ -110,11 +112,13 @@
 			if !pause(ctx, retryPause) {
 				return nil, failure.NotRun(failure.NoUpstream, "pool %s has no reachable owner: %v", poolName, err)
 			}
-		case result.Refusal != nil:
+		case result.Refusal != nil && (role == RoleOwner || result.Refusal.Reason != pool.ReasonNotAuthority):
 			return nil, refusalError(poolName, *result.Refusal)
 		case result.Permit != nil:
 			// The owner granted at the earliest after it had received the call and had waited.
 			return c.hold(poolName, role, request, *result.Permit, sentAt.Add(result.Waited+dispatchTimeout)), nil
+		default:
+			role = RoleOwner // a deputy without free reserve has nothing to wait for
 		}
 	}
 }
@@ -126,10 +130,14 @@
 	if !ok {
 		return result, sentAt, failure.NotRun(failure.NoUpstream, "pool %s has no %s", poolName, role)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, acquireWait+callTimeout)
+	wait := acquireWait
+	if role == RoleDeputy {
+		wait = deputyWait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	err := c.caller.Call(callCtx, address, MethodAcquire, AcquireParams{
-		Pool: poolName, Role: role, Holder: c.members.Self(), Request: request, Wait: acquireWait,
+		Pool: poolName, Role: role, Holder: c.members.Self(), Request: request, Wait: wait,
 	}, &result)
 	return result, sentAt, err
 }
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -22,6 +22,7 @@
 type cell struct {
 	mu     sync.Mutex
 	owner  string
+	deputy string
 	lapsed bool
 	owners map[string]*Owner
 }
@@ -54,13 +55,19 @@
 func (m member) Holder(_ string, role Role) (string, string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.owner, m.owner, role == RoleOwner
+	if role == RoleDeputy {
+		return m.deputy, m.deputy, m.deputy != ""
+	}
+	return m.owner, m.owner, true
 }
 func (m member) Self() string            { return m.name }
 func (m member) MaySend(time.Time) error { return nil }
 func (m member) MayGrant(_ time.Time, _ string, role Role) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if role == RoleDeputy && m.deputy == m.name {
+		return nil
+	}
 	if m.lapsed || m.owner != m.name || role != RoleOwner {
 		return failure.NotRun(failure.Isolated, "lease lapsed")
 	}
@@ -197,6 +204,30 @@
 	})
 }
 
+// Guards against a requester that stays with a deputy without free reserve after
+// the owner could not grant for a moment.
+func TestRequesterReturnsFromTheDeputyToTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a", "b")
+		w.conf.Text.Pools[0].Limits.ColdRequests = 1 // no reserve
+		w.mu.Lock()
+		w.lapsed, w.deputy = true, "b"
+		w.mu.Unlock()
+		for _, o := range w.owners {
+			o.Sync(w.ctx, w.conf, 1)
+		}
+		time.AfterFunc(time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.lapsed = false
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := w.client("c").Acquire(ctx, "p", request("r1"))
+		require.NoError(t, err)
+	})
+}
+
 // Guards against a slot that is used again while the request of a silent holder
 // still runs at the upstream.
 func TestSilentHolderIsCancelledBeforeItsSlotIsUsed(t *testing.T) {
