Give a plain pool the reserve of a former deputy back

The reserve counted as taken until a load report, which plain services never send; after each change of the deputy a plain pool lost that part for good. The new test failed first (no grant after the former permits had expired).

--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -57,6 +57,7 @@
 	}
 	s.expireSuspects(now)
 	s.settled(now)
+	s.forgetFormerDeputy(now)
 	if s.out {
 		s.refuseAll()
 	} else if !now.Before(s.holdUntil) {
--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -66,6 +66,19 @@
 	}
 }
 
+// forgetFormerDeputy frees the reserve of a former deputy of a pool without load
+// reports, once the permits that it may have granted have expired.
+func (s *State) forgetFormerDeputy(now time.Time) {
+	if s.needsReports() {
+		return
+	}
+	for _, u := range s.upstreams {
+		if u.assumed > 0 && !now.Before(u.assumedTil.Add(s.cfg.PermitTerm)) {
+			u.assumed = 0
+		}
+	}
+}
+
 // settled ends the caution of a new epoch when its time has passed.
 func (s *State) settled(now time.Time) bool {
 	if s.unsettled && !now.Before(s.settleAt) {
