--- a/e2e/product_test.go
+++ b/e2e/product_test.go
@@ -2,29 +2,22 @@
 
 import (
 	"bytes"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanscale/rattanscale/internal/callerclient"
 	"github.com/rattanscale/rattanscale/internal/ctl"
 	"github.com/rattanscale/rattanscale/internal/daemon"
+	"github.com/rattanscale/rattanscale/internal/tlsconf/tlstest"
 )
 
 // Guards against a recorded trace that cannot be replayed.
@@ -47,31 +40,10 @@
 	require.Contains(t, out.String(), "rattanscale")
 }
 
-// writeCertificate writes a certificate for 127.0.0.1 that is its own trust root.
-func writeCertificate(t *testing.T, dir string) (cert, key string) {
-	t.Helper()
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
-	require.NoError(t, err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
-	require.NoError(t, err)
-	cert, key = filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
-	require.NoError(t, os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	require.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}), 0o600))
-	return cert, key
-}
-
 // Guards against plain-text connections of callers, operators or peers once
 // certificates are set.
 func TestTLSForCallersOperatorsAndPeers(t *testing.T) {
-	cert, key := writeCertificate(t, t.TempDir())
+	cert, key := tlstest.WriteCertificate(t, t.TempDir(), 1)
 	c := newClusterWith(t, func(*host) string {
 		return fmt.Sprintf("tls: {cert: %s, key: %s, ca: %s}\n", cert, key, cert)
 	}, "praha-1", "praha-2")
--- a/internal/tlsconf/tlsconf_test.go
+++ b/internal/tlsconf/tlsconf_test.go
@@ -1,43 +1,14 @@
 package tlsconf
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// writeFiles writes a certificate for 127.0.0.1 that is its own trust root.
-func writeFiles(t *testing.T, dir string, serial int64) (cert, key string) {
-	t.Helper()
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
-	require.NoError(t, err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
-	require.NoError(t, err)
-	cert, key = filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
-	require.NoError(t, os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	require.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}), 0o600))
-	return cert, key
-}
+	"github.com/rattanscale/rattanscale/internal/tlsconf/tlstest"
+)
 
 // handshake returns the serial number of the certificate that the server presented.
 func handshake(t *testing.T, server, client *tls.Config) (int64, error) {
@@ -67,7 +38,7 @@
 // trust roots that stay in use for outgoing connections.
 func TestReplacedFilesAreUsedWithoutRestart(t *testing.T) {
 	dir := t.TempDir()
-	cert, key := writeFiles(t, dir, 1)
+	cert, key := tlstest.WriteCertificate(t, dir, 1)
 	source, err := New(cert, key, cert)
 	require.NoError(t, err)
 	server, client := source.Server(true), source.Client()
@@ -75,7 +46,7 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 1, serial)
 
-	writeFiles(t, dir, 2)
+	tlstest.WriteCertificate(t, dir, 2)
 	source.checked = time.Time{}
 	serial, err = handshake(t, server, client)
 	require.NoError(t, err)
@@ -84,10 +55,10 @@
 
 // Guards against a peer with a certificate of another root.
 func TestUnknownRootIsRefused(t *testing.T) {
-	cert, key := writeFiles(t, t.TempDir(), 1)
+	cert, key := tlstest.WriteCertificate(t, t.TempDir(), 1)
 	mine, err := New(cert, key, cert)
 	require.NoError(t, err)
-	cert, key = writeFiles(t, t.TempDir(), 2)
+	cert, key = tlstest.WriteCertificate(t, t.TempDir(), 2)
 	other, err := New(cert, key, cert)
 	require.NoError(t, err)
 	_, err = handshake(t, mine.Server(true), other.Client())
