End the caution of a new owner once reports explain everything that runs

Cause: for 10 s after a change of owner a warm engine was held at its cold limit. Ruled out: a fixed shorter time, which would trust a silent holder's requests. The caution now ends per upstream after two reports without unknown requests.

--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -100,7 +100,9 @@
 	if s.unproved(u) {
 		return 0
 	}
-	if !s.settled(now) {
+	// Reports that explain everything that runs end the caution for this upstream
+	// early, so that a change of owner does not hold a warm engine at its cold limit.
+	if !s.settled(now) && (u.doubt || !s.needsReports()) {
 		limit = min(limit, max(s.pool.Limits.ColdRequests, 1))
 		if u.hasReport {
 			count = max(count, u.report.Running+u.grantsSince(u.reportTaken))
--- a/internal/pool/state_test.go
+++ b/internal/pool/state_test.go
@@ -74,3 +74,24 @@
 	}
 	require.Equal(t, 4, s.Snapshot(now).Upstreams[0].Limit)
 }
+
+// Guards against a warm engine that a change of owner holds at its cold limit for
+// the whole permit term, although its reports explain everything that runs.
+func TestReportsEndTheCautionOfANewOwner(t *testing.T) {
+	s := New(Config{Pool: testPool(entity.KindEngine, 1, engineLimits)})
+	s.HoldUntil(t0, t0)
+	for i := range 8 {
+		s.Acquire(t0, request(i))
+	}
+	now := t0
+	var running []Permit
+	for tick := range 8 { // 2 s, far below the permit term
+		now = now.Add(250 * time.Millisecond)
+		for _, p := range running {
+			s.Progress(now, []Progress{{PermitID: p.ID, Tokens: 10 * tick, FirstToken: 10 * time.Millisecond, StepTime: 20 * time.Millisecond}})
+		}
+		s.Report(now, Report{Upstream: "e000", Incarnation: "i1", Running: len(running), Age: 10 * time.Millisecond})
+		running = append(running, grants(s.Decide(now))...)
+	}
+	require.Greater(t, len(running), engineLimits.ColdRequests)
+}
