--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -96,12 +96,12 @@
 // the same engine, and reports the daemon's processor time for each token.
 func BenchmarkRelayCost(b *testing.B) {
 	c := newCluster(b, "praha-1")
-	engine := c.engine("praha-1-e1", "-base-step", "5ms", "-step-per-request", "0s", "-step-per-kilotoken", "0s")
-	c.apply(c.text("{cold-requests: 32, max-requests: 64, memory-tokens: 65536, target-step: 62ms}"))
+	engine := c.engine("praha-1-e1", "-base-step", "2ms", "-step-per-request", "0s", "-step-per-kilotoken", "0s")
+	c.apply(c.text("{cold-requests: 64, max-requests: 64, memory-tokens: 65536, target-step: 62ms}"))
 	c.waitReady()
 	client := c.client(c.hosts[0])
 	c.generate(client, "restart", 10)
-	const streams, tokens = 8, 200
+	const streams, tokens = 24, 500
 	var through, straight timing
 	relayed := 0
 	before := c.hosts[0].processorTime()
@@ -143,7 +143,7 @@
 		b.Run(strconv.Itoa(streams), func(b *testing.B) {
 			c := newCluster(b, "praha-1")
 			c.engine("praha-1-e1", "-base-step", "200ms", "-step-per-request", "0s", "-step-per-kilotoken", "0s", "-memory-tokens", "4000000")
-			c.apply(strings.Replace(c.text("{cold-requests: 600, max-requests: 600, memory-tokens: 4000000, target-step: 9s}"), "max-queued: 100", "max-queued: 1000", 1))
+			c.apply(strings.Replace(c.text("{cold-requests: 600, max-requests: 800, memory-tokens: 4000000, target-step: 9s}"), "max-queued: 100", "max-queued: 1000", 1))
 			c.waitReady()
 			c.generate(c.client(c.hosts[0]), "restart", 1)
 			before := c.hosts[0].residentMemory()
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanscale/rattanscale/internal/callerclient"
@@ -47,7 +48,11 @@
 	if main := mains[os.Getenv(programVariable)]; main != nil {
 		os.Exit(main(os.Args[1:], os.Stdout, os.Stderr))
 	}
-	os.Exit(m.Run())
+	commands := map[string]func(){}
+	for name, main := range mains {
+		commands[name] = func() { os.Exit(main(os.Args[1:], os.Stdout, os.Stderr)) }
+	}
+	testscript.Main(m, commands)
 }
 
 // process is one running program.
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -22,6 +22,7 @@
 type cell struct {
 	mu     sync.Mutex
 	owner  string
+	deputy string
 	lapsed bool
 	owners map[string]*Owner
 }
@@ -54,13 +55,19 @@
 func (m member) Holder(_ string, role Role) (string, string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.owner, m.owner, role == RoleOwner
+	if role == RoleDeputy {
+		return m.deputy, m.deputy, m.deputy != ""
+	}
+	return m.owner, m.owner, true
 }
 func (m member) Self() string            { return m.name }
 func (m member) MaySend(time.Time) error { return nil }
 func (m member) MayGrant(_ time.Time, _ string, role Role) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if role == RoleDeputy && m.deputy == m.name {
+		return nil
+	}
 	if m.lapsed || m.owner != m.name || role != RoleOwner {
 		return failure.NotRun(failure.Isolated, "lease lapsed")
 	}
@@ -103,7 +110,7 @@
 		Name: "p", Kind: entity.KindEngine, Limits: entity.Limits{ColdRequests: 2, MaxRequests: 4, TargetStep: 62 * time.Millisecond},
 		Upstreams: []entity.Upstream{{Name: "e1", Address: "e1", Pool: "p"}},
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	w := &world{
 		cell: &cell{owner: names[0], owners: map[string]*Owner{}}, engine: &warmEngine{}, ctx: ctx,
@@ -134,6 +141,20 @@
 	}
 }
 
+// produce receives tokens at a normal speed until the test ends.
+func (w *world) produce(h *Held) {
+	ticker := time.NewTicker(40 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-ticker.C:
+			h.Token()
+		}
+	}
+}
+
 func request(id string) pool.Request {
 	return pool.Request{ID: id, Service: "s", Account: "a", Weight: 1, MaxQueued: 10, PromptTokens: 10}
 }
@@ -149,7 +170,7 @@
 			h, err := holder.Acquire(t.Context(), "p", request(id))
 			require.NoError(t, err)
 			w.engine.running.Add(1)
-			h.Token()
+			go w.produce(h)
 			time.Sleep(time.Second)
 			held = append(held, h)
 		}
@@ -183,6 +204,30 @@
 	})
 }
 
+// Guards against a requester that stays with a deputy without free reserve after
+// the owner could not grant for a moment.
+func TestRequesterReturnsFromTheDeputyToTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a", "b")
+		w.conf.Text.Pools[0].Limits.ColdRequests = 1 // no reserve
+		w.mu.Lock()
+		w.lapsed, w.deputy = true, "b"
+		w.mu.Unlock()
+		for _, o := range w.owners {
+			o.Sync(w.ctx, w.conf, 1)
+		}
+		time.AfterFunc(time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.lapsed = false
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := w.client("c").Acquire(ctx, "p", request("r1"))
+		require.NoError(t, err)
+	})
+}
+
 // Guards against a slot that is used again while the request of a silent holder
 // still runs at the upstream.
 func TestSilentHolderIsCancelledBeforeItsSlotIsUsed(t *testing.T) {
