Resume a broken engine stream at once to learn early that the engine lost it

Cause: a relay waited 50 ms before its first attempt to resume. When an engine restarted cold without warning, the pool's owner went on granting up to the warm limit in that time. Seen once in three restarts: 5 requests at an engine that can bear 4. Ruled out: permits granted twice after a change of owner (no view change in that run). A round trip between the loss and the first evidence of it remains.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -14,7 +14,9 @@
 )
 
 // resumePauses separate the attempts to resume a generation at its own engine.
-var resumePauses = []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, time.Second}
+// The first attempt follows at once: until it shows that the engine lost the
+// generation, the pool's owner grants further requests up to the warm limit.
+var resumePauses = []time.Duration{0, 300 * time.Millisecond, time.Second}
 
 // errHandover ends a stream that continues at another host.
 var errHandover = errors.New("stream was handed over")
