Prove take-out, racing operators and cold limits over killed and paused daemons

In a scratch copy, leaving the check of the data centre out of the relay's choice of pools did not fail these tests, because the owner of the pool checks it too; both checks together were not broken.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -165,6 +165,7 @@
 	dir     string
 	table   *process
 	list    *process
+	objects *process
 	hosts   []*host
 	engines map[string]*process
 	plains  map[string]*process
@@ -184,10 +185,11 @@
 	c := &cluster{t: t, dir: t.TempDir(), engines: map[string]*process{}, plains: map[string]*process{}}
 	c.table = start(t, "table", "rattanstandin", "table", "-listen", "127.0.0.1:0")
 	c.list = start(t, "hostlist", "rattanstandin", "hostlist", "-listen", "127.0.0.1:0")
+	c.objects = start(t, "objects", "rattanstandin", "objects", "-listen", "127.0.0.1:0")
 	for i, dc := range dataCentres {
 		c.addHost(fmt.Sprintf("h%d", i+1), dc)
 	}
-	c.listHosts()
+	c.listHosts(c.hosts...)
 	for _, h := range c.hosts {
 		h.start()
 	}
@@ -201,7 +203,7 @@
 	text := fmt.Sprintf(`
 host: {name: %s, data-centre: %s}
 listen: {caller: "%s", operator: "%s", peer: "%s"}
-platform: {table: dynamo, table-url: "http://%s", host-list-url: "http://%s", access-key: test, secret-key: test}
+platform: {table: dynamo, table-url: "http://%s", host-list-url: "http://%s", objects-url: "http://%s", bucket: texts, access-key: test, secret-key: test}
 keys:
   resume: resume-key-0123456
   peer: peer-key-012345678
@@ -209,7 +211,7 @@
   accounts: {guides: %s}
 limits: {token-timeout: 2s}
 drain: {announce: 1s, limit: 2s}
-`, name, dataCentre, h.caller, h.operator, h.peer, c.table.addr, c.list.addr, operatorKey, accountKey)
+`, name, dataCentre, h.caller, h.operator, h.peer, c.table.addr, c.list.addr, c.objects.addr, operatorKey, accountKey)
 	require.NoError(c.t, os.WriteFile(h.settings, []byte(text), 0o600))
 	c.hosts = append(c.hosts, h)
 	return h
@@ -217,14 +219,14 @@
 
 func (h *host) start() { h.process = start(h.t, h.name, "rattanscaled", "-config", h.settings) }
 
-// listHosts writes the platform's host list.
-func (c *cluster) listHosts() {
+// listHosts writes the hosts to the platform's host list.
+func (c *cluster) listHosts(hosts ...*host) {
 	type row struct {
 		Name    string `json:"name"`
 		Address string `json:"address"`
 	}
-	var rows []row
-	for _, h := range c.hosts {
+	rows := []row{}
+	for _, h := range hosts {
 		rows = append(rows, row{h.name, h.peer})
 	}
 	body, err := json.Marshal(rows)
--- /dev/null
+++ b/e2e/load_test.go
@@ -0,0 +1,92 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/failure"
+)
+
+// load is a set of callers that send generations one after another.
+type load struct {
+	ctx    context.Context
+	stop   context.CancelFunc
+	loops  sync.WaitGroup
+	mu     sync.Mutex
+	result []result
+}
+
+// load starts callers at the hosts; caller i uses host i modulo the number of hosts first.
+func (c *cluster) load(service string, callers, tokens int, hosts ...*host) *load {
+	ctx, stop := context.WithCancel(c.t.Context())
+	l := &load{ctx: ctx, stop: stop}
+	for i := range callers {
+		order := append(append([]*host{}, hosts[i%len(hosts):]...), hosts[:i%len(hosts)]...)
+		client := c.client(order...)
+		l.loops.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				length := tokens + (i*7+n)%20 // answers of different requests have different lengths
+				l.add(c.one(client, order[0], service, fmt.Sprintf("caller %d request %d tokens=%d", i, n, length), length))
+			}
+		})
+	}
+	c.t.Cleanup(func() { stop(); l.loops.Wait() })
+	return l
+}
+
+func (l *load) add(r result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.result = append(l.result, r)
+}
+
+// completed returns the number of complete answers so far.
+func (l *load) completed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.result {
+		if r.err == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// end stops the callers after their present request and returns all results.
+func (l *load) end() []result {
+	l.stop()
+	l.loops.Wait()
+	return l.result
+}
+
+// requireComplete requires that each answer is complete and that each other
+// request was refused as not run, before any token, with one of the kinds. It
+// returns the numbers of both.
+func requireComplete(t *testing.T, results []result, kinds ...failure.Kind) (complete, refused int) {
+	t.Helper()
+	for _, r := range results {
+		if r.err == nil {
+			requireWhole(t, r.answer, r.tokens)
+			complete++
+			continue
+		}
+		refusal := r.refusal()
+		require.NotNil(t, refusal, "%s: %v", r.prompt, r.err)
+		require.Contains(t, kinds, refusal.Kind, "%s: %v", r.prompt, r.err)
+		require.True(t, refusal.NotRun, "%s: %v", r.prompt, r.err)
+		refused++
+	}
+	return complete, refused
+}
+
+// pause sends SIGSTOP and returns a function that sends SIGCONT.
+func (p *process) pause() (resume func()) {
+	p.signal(syscall.SIGSTOP)
+	return func() { p.signal(syscall.SIGCONT) }
+}
