Hand over answers that are held until complete when a host stops

Cause: for delivery whole, the handover ended the stream without any event, so a caller whose answer was longer than the drain limit got an unexpected end. Now it gets start and handover events and resumes at offset 0 at another host, which holds the answer again. Before: TestPlannedStopUnderLoad failed with unexpected EOF for delivery whole; after: it passes. A second loss after the handover is reported as generation-lost, because the other host has no prompt.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -182,16 +182,22 @@
 }
 
 // handOver tells the caller to resume at another host. The permit is left to the
-// host that resumes.
+// host that resumes. Of an answer that is held until complete the caller has no
+// token yet, so it starts at offset 0 there.
 func (g *generation) handOver(t target, generation string, next int) error {
 	if g.sink.held() {
-		return nil // an answer that is held until complete cannot move; the caller has no token yet
+		next = 0
 	}
 	g.relay.Events.Record("stream-handover", g.call.RequestID, "offset", itoa(next))
 	t.held.Detach()
-	err := g.sink.event(stream.EventHandover, stream.HandoverData{
-		ResumeToken: g.relay.Signer.Sign(g.token(t, generation, next)), Hosts: g.relay.OtherHosts(),
-	})
+	resumeToken := g.relay.Signer.Sign(g.token(t, generation, next))
+	if g.sink.held() {
+		start := stream.StartData{Request: g.call.RequestID, Generation: generation, ResumeToken: resumeToken}
+		if err := g.sink.event(stream.EventStart, start); err != nil {
+			return errCallerGone
+		}
+	}
+	err := g.sink.event(stream.EventHandover, stream.HandoverData{ResumeToken: resumeToken, Hosts: g.relay.OtherHosts()})
 	if err != nil {
 		return errCallerGone
 	}
@@ -326,7 +332,7 @@
 		return failure.New(failure.GenerationLost, "upstream %s cannot resume the generation: %v", token.Upstream, err)
 	}
 	r.Events.Record("stream-resumed", call.RequestID, "upstream", token.Upstream, "offset", itoa(next))
-	g := &generation{relay: r, call: call, sink: directSink{w}, delivered: true}
+	g := &generation{relay: r, call: call, sink: newSink(call, w, r.MaxWholeBytes), delivered: true}
 	err = g.relayTokens(ctx, upCtx, t, tokens, next)
 	if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, errHandover) {
 		return nil
