--- /dev/null
+++ b/e2e/leaving_test.go
@@ -0,0 +1,74 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/standin"
+)
+
+// leavingBound is the time after which a leaving upstream receives no new work
+// (R8; the derived bound of section 5.8).
+const leavingBound = 3500 * time.Millisecond
+
+// Guards against new work at an engine that has reported that it leaves (R8).
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	c := small(t)
+	l := c.load("restart", 9, 40, c.hosts...)
+	begun := time.Now()
+	c.eventually("both engines serve", func() bool {
+		return c.lastStart("praha-1").After(begun) && c.lastStart("praha-2").After(begun)
+	})
+	commanded := time.Now()
+	c.engines["praha-2-e1"].fault(standin.Fault{Kind: standin.FaultLeave})
+	c.requireNoNewWork("praha-2", commanded, leavingBound)
+	complete, refused := requireComplete(t, l.end())
+	t.Logf("complete=%d refused=%d", complete, refused)
+}
+
+// Guards against a planned stop that cuts off answers longer than the drain
+// limit, of each delivery (R9).
+func TestPlannedStopUnderLoad(t *testing.T) {
+	c := small(t)
+	victim := c.hosts[2]
+	l := c.load("restart", 4, 30, c.hosts...)
+	client := c.client(victim, c.hosts[0], c.hosts[1])
+	var long sync.WaitGroup
+	results := make([]result, 4)
+	for i, delivery := range []string{"restart", "error", "whole", "whole"} {
+		tokens := 900 + i
+		long.Go(func() {
+			results[i] = c.one(client, victim, delivery, fmt.Sprintf("long %d tokens=%d", i, tokens), tokens)
+		})
+	}
+	c.eventually("the long streams run", func() bool {
+		n := 0
+		for _, e := range c.engines {
+			for request := range stats[standin.EngineStats](e).Starts {
+				if strings.HasPrefix(request, victim.name+"-") {
+					n++
+				}
+			}
+		}
+		return n >= len(results)
+	})
+	victim.stopped = true
+	victim.signal(syscall.SIGTERM)
+	<-victim.exited
+	require.Zero(t, victim.cmd.ProcessState.ExitCode())
+	long.Wait()
+	for _, r := range results {
+		require.NoError(t, r.err, r.service)
+		requireWhole(t, r.answer, r.tokens)
+		require.Equal(t, 1, c.starts(r.answer.RequestID), r.service)
+		require.Positive(t, r.answer.Resumes, r.service)
+	}
+	complete, refused := requireComplete(t, l.end())
+	t.Logf("complete=%d refused=%d", complete, refused)
+}
