Suspect a request from the moment its run breaks

Cause: a restarted engine confirmed the cancellation of a crashed request before its report showed the new incarnation, and the confirmation removed the fingerprint before the loss was counted. Ruled out: the loss reports themselves, which arrive. A broken run is now kept until a report tells whether the engine restarted; until then the request is not sent elsewhere.

--- a/internal/pool/decide_test.go
+++ b/internal/pool/decide_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattanscale/rattanscale/internal/entity"
+
 	"github.com/rattanscale/rattanscale/internal/fairqueue"
 	"github.com/rattanscale/rattanscale/internal/quarantine"
 )
@@ -303,3 +305,62 @@
 	s.Settle(now)
 	require.Len(t, grants(s.Decide(now)), 1, "the warm limit applies, but not more than the report allows")
 }
+
+// Guards against a crash that is not counted because the restarted engine
+// confirmed the cancellation before its report showed the new incarnation.
+func TestCrashCountsAlthoughTheCancellationIsConfirmedFirst(t *testing.T) {
+	s := New(Config{Pool: testPool(entity.KindEngine, 2, engineLimits)})
+	now := t0
+	incarnations := map[string]int{}
+	report := func(name string) {
+		s.Report(now, Report{Upstream: name, Incarnation: fmt.Sprint(name, "-", incarnations[name])})
+	}
+	report("e000")
+	report("e001")
+	crash := func(id int) {
+		r := request(id)
+		r.Fingerprint = 42
+		s.Acquire(now, r)
+		granted := grants(s.Decide(now))
+		require.Len(t, granted, 1, "attempt %d", id)
+		now = now.Add(20 * time.Millisecond)
+		s.Progress(now, []Progress{{PermitID: granted[0].ID, Tokens: 2}})
+		s.Release(now, granted[0].ID, UpstreamLost, 2)
+		incarnations[granted[0].Upstream]++
+		s.Decide(now)
+		s.ConfirmCancelled(now, granted[0].ID)
+		again := request(100 + id)
+		again.Fingerprint = 42
+		s.Acquire(now, again)
+		require.Empty(t, grants(s.Decide(now)), "sent again before the loss was known")
+		s.Abandon(now, again.ID)
+		now = now.Add(time.Second)
+		report("e000")
+		report("e001")
+		now = now.Add(time.Second)
+		report("e000")
+		report("e001")
+	}
+	crash(1)
+	crash(2)
+	third := request(3)
+	third.Fingerprint = 42
+	s.Acquire(now, third)
+	require.Equal(t, ReasonQuarantined, refusals(s.Decide(now))[third.ID])
+}
+
+// Guards against a suspicion that stays after a report showed that the upstream
+// lived on, as after a cut link.
+func TestLossThatWasNoneClearsTheSuspicion(t *testing.T) {
+	s := New(Config{Pool: testPool(entity.KindEngine, 1, engineLimits)})
+	s.Report(t0, Report{Upstream: "e000", Incarnation: "i1"})
+	s.Acquire(t0, request(1))
+	granted := grants(s.Decide(t0))
+	require.Len(t, granted, 1)
+	s.Release(t0, granted[0].ID, UpstreamLost, 0)
+	s.Decide(t0)
+	s.ConfirmCancelled(t0, granted[0].ID)
+	now := t0.Add(time.Second)
+	s.Report(now, Report{Upstream: "e000", Incarnation: "i1"})
+	require.False(t, s.quarantine.ShouldIsolate(now, request(1).Fingerprint))
+}
--- a/internal/pool/epoch.go
+++ b/internal/pool/epoch.go
@@ -115,11 +115,18 @@
 // newer load report confirmed that they are still warm. Asking them at once
 // shortens the wait for their next regular report.
 func (s *State) ReportsWanted(now time.Time) []string {
-	if s.queue.Len() == 0 || s.cfg.Deputy {
+	if s.cfg.Deputy {
 		return nil
 	}
 	var out []string
 	for _, u := range s.upstreams {
+		if len(u.broken) > 0 {
+			out = append(out, u.name)
+			continue
+		}
+		if s.queue.Len() == 0 {
+			continue
+		}
 		blocked := s.unproved(u) || s.unconfirmed(u) <= s.reserve()
 		if blocked && !u.down && u.running()+s.reserve() < u.tracker.Limit() && u.alone == 0 && s.mayServe(u, &Request{}) {
 			out = append(out, u.name)
@@ -228,7 +235,9 @@
 		return
 	}
 	for _, p := range ended {
-		s.quarantine.Ended(p.request.Fingerprint, u.name)
+		if !p.broken {
+			s.quarantine.Ended(p.request.Fingerprint, u.name)
+		}
 		s.drop(now, p)
 	}
 }
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -96,6 +96,9 @@
 		return
 	}
 	r := s.suspects[0]
+	if s.brokenRun(r.Fingerprint) {
+		return // the next report tells whether its upstream was lost
+	}
 	if i.upstream == nil || !s.mayServe(i.upstream, &r) || s.isDown(now, i.upstream) {
 		i.upstream = s.reservable(now, &r)
 	}
--- /dev/null
+++ b/internal/pool/losses.go
@@ -0,0 +1,59 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/quarantine"
+)
+
+// brokenRun is a run whose holder lost contact with the upstream. The next load
+// report tells whether the upstream was lost with it.
+type brokenRun struct {
+	fingerprint uint64
+	alone       bool
+	// incarnation is that of the upstream when the run was granted.
+	incarnation string
+	at          time.Time
+}
+
+// noteBroken suspects a request from the moment its run broke, so that it is not
+// sent elsewhere before the loss of its upstream has been counted.
+func (s *State) noteBroken(now time.Time, p *permit) {
+	fingerprint := p.request.Fingerprint
+	s.quarantine.Ended(fingerprint, p.upstream.name)
+	if !s.needsReports() {
+		return // a plain service tells nothing of its incarnation
+	}
+	p.upstream.broken = append(p.upstream.broken, brokenRun{fingerprint, p.Alone, p.Incarnation, now})
+	s.notices = append(s.notices, s.quarantine.Suspect(now, fingerprint))
+}
+
+// broken reports whether a run of the fingerprint broke and nothing is known of its upstream yet.
+func (s *State) brokenRun(fingerprint uint64) bool {
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
+		return slices.ContainsFunc(u.broken, func(b brokenRun) bool { return b.fingerprint == fingerprint })
+	})
+}
+
+// countBroken makes the broken runs part of what ran on a lost upstream.
+func (s *State) countBroken(u *upstream) {
+	for _, b := range u.broken {
+		s.quarantine.Dispatched(b.fingerprint, u.name, b.alone)
+	}
+	u.broken = nil
+}
+
+// clearBroken ends the suspicion against runs that broke before a report of the
+// same incarnation was taken: the upstream lives, so the link was at fault.
+func (s *State) clearBroken(u *upstream, taken time.Time) {
+	u.broken = slices.DeleteFunc(u.broken, func(b brokenRun) bool {
+		if !taken.After(b.at) {
+			return false
+		}
+		if s.quarantine.Unfounded(b.fingerprint) {
+			s.notices = append(s.notices, quarantine.Notice{Fingerprint: b.fingerprint, Cleared: true})
+		}
+		return true
+	})
+}
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -162,6 +162,10 @@
 		// The upstream may still run the request: the slot stays taken until Lose,
 		// the confirmed cancellation or a newer report.
 		u.tracker.Turn(now)
+		if !p.broken {
+			p.broken = true
+			s.noteBroken(now, p)
+		}
 		s.cancel(now, p)
 		return
 	case Refused:
@@ -189,7 +193,9 @@
 	if p == nil || !p.cancelling {
 		return
 	}
-	s.quarantine.Ended(p.request.Fingerprint, p.upstream.name)
+	if !p.broken {
+		s.quarantine.Ended(p.request.Fingerprint, p.upstream.name)
+	}
 	s.drop(now, p)
 }
 
@@ -222,6 +228,8 @@
 	}
 	if r.Incarnation != "" && u.incarnation != "" && r.Incarnation != u.incarnation {
 		s.restarted(now, u)
+	} else {
+		s.clearBroken(u, taken)
 	}
 	u.applyReport(now, r, s.reserve())
 	s.proveEnded(now, u)
@@ -256,6 +264,7 @@
 }
 
 func (s *State) endAll(now time.Time, u *upstream, ends func(*permit) bool) {
+	s.countBroken(u)
 	kept := make([]*permit, 0, len(u.permits))
 	for _, p := range append([]*permit(nil), u.permits...) {
 		if ends(p) {
@@ -266,6 +275,9 @@
 	}
 	s.notices = append(s.notices, s.quarantine.Lost(now, u.name, u.leaving || u.report.Leaving)...)
 	for _, p := range kept {
+		if p.broken {
+			continue // counted with the loss
+		}
 		s.quarantine.Dispatched(p.request.Fingerprint, u.name, p.Alone)
 	}
 	// The ended permits ran on what was lost; a report of what runs now does not include them.
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -42,6 +42,8 @@
 	cancelSent  time.Time
 	// older and newer link the live permits in the order of expiry.
 	older, newer *permit
+	// broken is set once the holder reported that the run broke.
+	broken bool
 }
 
 func (p *permit) load() admission.Load {
@@ -66,6 +68,7 @@
 	tracker     coldstart.Tracker
 	model       admission.StepModel
 	permits     []*permit
+	broken      []brokenRun
 	short       int // permits whose expected output is at most the mean
 	alone       int // permits that must have the upstream to themselves
 	profile     admission.Profile
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -89,6 +89,25 @@
 	t.running[upstream] = set
 }
 
+// Suspect makes a fingerprint run alone until it is known whether its upstream
+// was lost. It returns what other daemons must know.
+func (t *Table) Suspect(now time.Time, fingerprint uint64) Notice {
+	e := t.entry(now, fingerprint)
+	e.suspect = now.Add(suspicionTime)
+	return Notice{Fingerprint: fingerprint, Losses: e.losses}
+}
+
+// Unfounded records that the upstream of a suspect was not lost. It reports
+// whether the fingerprint is cleared, which it is not after an earlier loss.
+func (t *Table) Unfounded(fingerprint uint64) bool {
+	e := t.entries[fingerprint]
+	if e == nil || e.losses > 0 {
+		return false
+	}
+	delete(t.entries, fingerprint)
+	return true
+}
+
 // Succeeded records that a run completed. It reports whether that cleared a suspicion.
 func (t *Table) Succeeded(fingerprint uint64, upstream string) bool {
 	t.Ended(fingerprint, upstream)
