Give each attempt of a request an identifier of its own

Cause: a retry asked for a permit under the identifier of the attempt before, whose end had not reached the owner yet; the owner repeated the old grant and the request went to the same engine again. A notice of a broken run also took back a refusal that another daemon had decided.

--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -256,6 +257,10 @@
 	}
 	w.wantReports(w.state.ReportsWanted(w.owner.now()))
 	if notices := w.state.Notices(); len(notices) > 0 {
+		for _, n := range notices {
+			w.owner.events.Record("request-suspected", "", "pool", w.key.pool, "fingerprint", strconv.FormatUint(n.Fingerprint, 16),
+				"losses", strconv.Itoa(n.Losses), "refused", strconv.FormatBool(n.Refused), "cleared", strconv.FormatBool(n.Cleared))
+		}
 		go w.owner.Notify(notices)
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -33,6 +33,9 @@
 	Refused bool `json:"refused,omitempty"`
 	// Cleared is set when the suspicion has proved wrong.
 	Cleared bool `json:"cleared,omitempty"`
+	// Broken is set when a run broke and it is not known yet whether its upstream
+	// was lost. Such a notice takes no refusal back.
+	Broken bool `json:"broken,omitempty"`
 }
 
 type entry struct {
@@ -93,8 +96,8 @@
 // was lost. It returns what other daemons must know.
 func (t *Table) Suspect(now time.Time, fingerprint uint64) Notice {
 	e := t.entry(now, fingerprint)
-	e.suspect = now.Add(suspicionTime)
-	return Notice{Fingerprint: fingerprint, Losses: e.losses}
+	e.suspect = laterOf(e.suspect, now.Add(suspicionTime))
+	return Notice{Fingerprint: fingerprint, Losses: e.losses, Broken: true}
 }
 
 // Unfounded records that the upstream of a suspect was not lost. It reports
@@ -224,13 +227,23 @@
 	}
 	e := t.entry(now, n.Fingerprint)
 	e.losses = max(e.losses, n.Losses)
-	e.suspect = now.Add(suspicionTime)
+	e.suspect = laterOf(e.suspect, now.Add(suspicionTime))
+	if n.Broken {
+		return
+	}
 	e.refused = time.Time{}
 	if n.Refused {
 		e.refuse(now)
 	}
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ShouldIsolate reports whether a fingerprint must run alone.
 func (t *Table) ShouldIsolate(now time.Time, fingerprint uint64) bool {
 	e := t.entries[fingerprint]
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -43,6 +43,7 @@
 func (r *Relay) callRepeatable(ctx context.Context, call *Call) (CallResult, error) {
 	var exclude []string
 	for attempt := 1; ; attempt++ {
+		call.beginAttempt(attempt)
 		t, err := r.acquire(ctx, call, exclude)
 		if err != nil {
 			return CallResult{}, err
@@ -66,6 +67,7 @@
 func (r *Relay) callOnce(ctx context.Context, call *Call) (CallResult, error) {
 	var exclude []string
 	for attempt := 1; ; attempt++ {
+		call.beginAttempt(attempt)
 		t, err := r.acquire(ctx, call, exclude)
 		if err != nil {
 			return CallResult{}, err
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -63,6 +63,7 @@
 
 func (g *generation) run(ctx context.Context) error {
 	for attempt := 1; ; attempt++ {
+		g.call.beginAttempt(attempt)
 		t, err := g.relay.acquire(ctx, g.call, g.exclude)
 		if err != nil {
 			return err
@@ -89,7 +90,7 @@
 	upCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	tokens, err := g.relay.Engine.Generate(upCtx, t.upstream.Address, upstream.GenerateRequest{
-		RequestID: g.call.RequestID, Model: t.version.Model, Prompt: g.call.Prompt,
+		RequestID: g.call.attemptID, Model: t.version.Model, Prompt: g.call.Prompt,
 		MaxTokens: g.call.MaxTokens, Priority: g.call.Service.Priority,
 	})
 	if err != nil {
@@ -162,7 +163,7 @@
 func (g *generation) token(t target, generation string, offset int) stream.ResumeToken {
 	p := t.held.Permit()
 	return stream.ResumeToken{
-		Request: g.call.RequestID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name,
+		Request: g.call.RequestID, Attempt: g.call.attemptID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name,
 		Pool: t.pool.Name, Upstream: t.upstream.Name, Address: t.upstream.Address, Incarnation: p.Incarnation,
 		Generation: generation, Offset: offset, Permit: p.ID, Fingerprint: g.call.fingerprint(), PromptTokens: promptTokens(g.call),
 	}
@@ -223,7 +224,7 @@
 		if !sleep(ctx, wait) {
 			return nil, errCallerGone
 		}
-		tokens, err := g.relay.Engine.Resume(upCtx, t.upstream.Address, g.call.RequestID, g.lastGen, next)
+		tokens, err := g.relay.Engine.Resume(upCtx, t.upstream.Address, g.call.attemptID, g.lastGen, next)
 		if err == nil {
 			g.relay.Events.Record("stream-resumed", g.call.RequestID, "upstream", t.upstream.Name, "offset", itoa(next))
 			return tokens, nil
@@ -325,8 +326,9 @@
 
 // Resume continues a stream that another connection or host started.
 func (r *Relay) Resume(ctx context.Context, token stream.ResumeToken, next int, call *Call, w *stream.Writer) error {
+	call.attemptID = token.Attempt
 	held := r.Permits.Adopt(token.Pool, permit.Running{
-		Permit:      pool.Permit{ID: token.Permit, RequestID: token.Request, Upstream: token.Upstream, Incarnation: token.Incarnation},
+		Permit:      pool.Permit{ID: token.Permit, RequestID: token.Attempt, Upstream: token.Upstream, Incarnation: token.Incarnation},
 		Fingerprint: token.Fingerprint, Service: token.Service, Version: token.Version, Account: token.Account,
 		PromptTokens: token.PromptTokens, Progress: pool.Progress{PermitID: token.Permit, Tokens: next},
 	})
@@ -336,7 +338,7 @@
 	}
 	upCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	tokens, err := r.Engine.Resume(upCtx, token.Address, token.Request, token.Generation, next)
+	tokens, err := r.Engine.Resume(upCtx, token.Address, token.Attempt, token.Generation, next)
 	if err != nil {
 		held.Release(pool.UpstreamLost, true)
 		return failure.New(failure.GenerationLost, "upstream %s cannot resume the generation: %v", token.Upstream, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -110,6 +111,18 @@
 	FinishBy       time.Time
 	AcceptRestart  bool
 	IdempotencyKey string
+
+	// attemptID identifies the present attempt towards pools and upstreams. A retry
+	// is a new request to them, because the earlier attempt may not have ended there yet.
+	attemptID string
+}
+
+// beginAttempt gives the attempt, which counts from 1, an identifier of its own.
+func (c *Call) beginAttempt(attempt int) {
+	c.attemptID = c.RequestID
+	if attempt > 1 {
+		c.attemptID += "-" + strconv.Itoa(attempt)
+	}
 }
 
 // fingerprint identifies the content of a request, so that repetitions by the caller are recognised.
@@ -169,7 +182,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	held, err := r.Permits.Acquire(ctx, p.Name, pool.Request{
-		ID: call.RequestID, Fingerprint: call.fingerprint(), Service: call.Service.Name, Version: version.Name, Model: version.Model,
+		ID: call.attemptID, Fingerprint: call.fingerprint(), Service: call.Service.Name, Version: version.Name, Model: version.Model,
 		Account: call.Account.Name, Weight: call.Account.Share, MaxQueued: call.Account.MaxQueued,
 		Priority: call.Service.Priority, PromptTokens: promptTokens(call), MaxTokens: call.MaxTokens,
 		PrefixHash: upstream.PrefixHash(call.Prompt), Deadline: deadline, FinishBy: call.FinishBy, Exclude: exclude,
--- a/internal/stream/token.go
+++ b/internal/stream/token.go
@@ -21,7 +21,9 @@
 // holder has not received when the token was issued; a later Last-Event-ID
 // moves it forward.
 type ResumeToken struct {
-	Request     string `json:"r"`
+	Request string `json:"r"`
+	// Attempt is the identifier under which the upstream runs the request.
+	Attempt     string `json:"t"`
 	Account     string `json:"a"`
 	Service     string `json:"s"`
 	Version     string `json:"v"`
