Tell the owner of a lost upstream before the request is retried

Cause: the retry reached the pool's owner before the digest with the loss, so the request ran beside others on a second engine, whose loss then condemned nobody; and losses were blamed on requests of the next incarnation as well. Test hosts take ports below the range of outgoing connections.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -178,12 +179,23 @@
 	extra func(*host) string
 }
 
+// nextPort is below the range from which the system takes ports for outgoing
+// connections, so that none of those takes a port before the daemon listens on it.
+var nextPort atomic.Int32
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const first, count = 20_000, 10_000
+	for range count {
+		port := first + (os.Getpid()*97+int(nextPort.Add(1)))%count
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // newCluster starts the platform's stand-ins and one daemon for each named data centre.
--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -244,26 +244,48 @@
 // Release ends the permit. With cancel, the owner cancels the request at the
 // upstream unless another host has resumed it.
 func (h *Held) Release(outcome pool.Outcome, cancel bool) {
-	h.mu.Lock()
-	if h.released {
-		h.mu.Unlock()
+	finished, ok := h.end(outcome, cancel)
+	if !ok {
 		return
 	}
-	h.released = true
-	running := h.running
-	h.mu.Unlock()
-
 	c := h.client
 	c.mu.Lock()
-	delete(c.held, running.Permit.ID)
-	c.finished[h.pool] = append(c.finished[h.pool], finishedPermit{
-		Finished: Finished{PermitID: running.Permit.ID, Upstream: running.Permit.Upstream, Outcome: outcome, Tokens: running.Progress.Tokens, Cancel: cancel},
-		role:     h.role,
-	})
+	c.finished[h.pool] = append(c.finished[h.pool], finishedPermit{Finished: finished, role: h.role})
 	c.mu.Unlock()
 	c.flushSoon()
 }
 
+// ReleaseLost ends the permit of a request whose upstream was lost and returns
+// once the pool's owner knows it, or cannot be reached. A retry that came to the
+// owner first could crash a second upstream beside other requests.
+func (h *Held) ReleaseLost(ctx context.Context) {
+	finished, ok := h.end(pool.UpstreamLost, true)
+	if !ok {
+		return
+	}
+	c := h.client
+	c.sendDigest(context.WithoutCancel(ctx), digestKey{h.pool, h.role}, &ProgressParams{
+		Pool: h.pool, Role: h.role, Holder: c.members.Self(), Finished: []Finished{finished},
+	})
+}
+
+// end takes the permit out of use. It returns false when it was ended before.
+func (h *Held) end(outcome pool.Outcome, cancel bool) (Finished, bool) {
+	h.mu.Lock()
+	released, running := h.released, h.running
+	h.released = true
+	h.mu.Unlock() // the client's lock comes before that of a permit
+	if released {
+		return Finished{}, false
+	}
+	h.client.mu.Lock()
+	defer h.client.mu.Unlock()
+	delete(h.client.held, running.Permit.ID)
+	return Finished{
+		PermitID: running.Permit.ID, Upstream: running.Permit.Upstream, Outcome: outcome, Tokens: running.Progress.Tokens, Cancel: cancel,
+	}, true
+}
+
 // supersede makes a later Release of h do nothing.
 func (h *Held) supersede() {
 	h.mu.Lock()
--- a/internal/pool/decide_test.go
+++ b/internal/pool/decide_test.go
@@ -349,6 +349,36 @@
 	require.Equal(t, ReasonQuarantined, refusals(s.Decide(now))[third.ID])
 }
 
+// Guards against a crash that is blamed on requests which the engine's next
+// incarnation runs, and against a request that runs in another pool before its
+// broken run is resolved.
+func TestOnlyWhatRanOnTheLostIncarnationIsSuspected(t *testing.T) {
+	s := New(Config{Pool: testPool(entity.KindEngine, 1, engineLimits)})
+	s.Report(t0, Report{Upstream: "e000", Incarnation: "i1"})
+	poison := request(1)
+	s.Acquire(t0, poison)
+	granted := grants(s.Decide(t0))
+	require.Len(t, granted, 1)
+	s.Release(t0, granted[0].ID, UpstreamLost, 0)
+	s.Decide(t0)
+	s.ConfirmCancelled(t0, granted[0].ID)
+	later := t0.Add(50 * time.Millisecond)
+	s.Acquire(later, request(2))
+	require.Len(t, grants(s.Decide(later)), 1)
+	later = later.Add(500 * time.Millisecond)
+	s.Report(later, Report{Upstream: "e000", Incarnation: "i2"})
+	require.True(t, s.quarantine.ShouldIsolate(later, poison.Fingerprint))
+	require.False(t, s.quarantine.ShouldIsolate(later, request(2).Fingerprint))
+
+	other := New(Config{Pool: testPool(entity.KindEngine, 1, engineLimits)})
+	other.Report(t0, Report{Upstream: "e000", Incarnation: "j1"})
+	other.Notify(t0, quarantine.Notice{Fingerprint: poison.Fingerprint, Broken: true})
+	other.Acquire(t0, poison)
+	require.Empty(t, grants(other.Decide(t0)))
+	other.Notify(t0, quarantine.Notice{Fingerprint: poison.Fingerprint, Cleared: true})
+	require.Len(t, grants(other.Decide(t0)), 1)
+}
+
 // Guards against a suspicion that stays after a report showed that the upstream
 // lived on, as after a cut link.
 func TestLossThatWasNoneClearsTheSuspicion(t *testing.T) {
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -96,7 +96,7 @@
 		return
 	}
 	r := s.suspects[0]
-	if s.brokenRun(r.Fingerprint) {
+	if s.brokenRun(now, r.Fingerprint) {
 		return // the next report tells whether its upstream was lost
 	}
 	if i.upstream == nil || !s.mayServe(i.upstream, &r) || s.isDown(now, i.upstream) {
--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -29,8 +29,19 @@
 	s.notices = append(s.notices, s.quarantine.Suspect(now, fingerprint))
 }
 
-// broken reports whether a run of the fingerprint broke and nothing is known of its upstream yet.
-func (s *State) brokenRun(fingerprint uint64) bool {
+// brokenHold is how long a request is held back after another daemon's notice that
+// its run broke; by then a load report has told whether the upstream was lost.
+const brokenHold = 2 * time.Second
+
+// brokenRun reports whether a run of the fingerprint broke, here or in another
+// pool, and nothing is known of its upstream yet.
+func (s *State) brokenRun(now time.Time, fingerprint uint64) bool {
+	if until, held := s.heldBack[fingerprint]; held {
+		if now.Before(until) {
+			return true
+		}
+		delete(s.heldBack, fingerprint)
+	}
 	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
 		return slices.ContainsFunc(u.broken, func(b brokenRun) bool { return b.fingerprint == fingerprint })
 	})
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -271,6 +271,9 @@
 			s.drop(now, p)
 		} else {
 			kept = append(kept, p)
+			if !p.broken {
+				s.quarantine.Ended(p.request.Fingerprint, u.name) // not part of what was lost
+			}
 		}
 	}
 	s.notices = append(s.notices, s.quarantine.Lost(now, u.name, u.leaving || u.report.Leaving)...)
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -57,6 +58,9 @@
 	candidates []routing.Candidate
 	fitting    []*upstream
 
+	// heldBack holds fingerprints whose run broke in another pool, until a time.
+	heldBack map[uint64]time.Time
+
 	pending []Command
 	notices []quarantine.Notice
 	unknown []uint64
@@ -87,6 +91,7 @@
 		queue:      fairqueue.New[*Request](cfg.MaxQueued),
 		lengths:    admission.NewPredictor(),
 		quarantine: quarantine.New(),
+		heldBack:   map[uint64]time.Time{},
 	}
 	s.SetPool(time.Time{}, cfg.Pool, false)
 	return s
@@ -265,7 +270,15 @@
 }
 
 // Notify applies another daemon's notice about a suspected request.
-func (s *State) Notify(now time.Time, n quarantine.Notice) { s.quarantine.Notify(now, n) }
+func (s *State) Notify(now time.Time, n quarantine.Notice) {
+	if n.Broken {
+		maps.DeleteFunc(s.heldBack, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+		s.heldBack[n.Fingerprint] = now.Add(brokenHold)
+	} else {
+		delete(s.heldBack, n.Fingerprint)
+	}
+	s.quarantine.Notify(now, n)
+}
 
 // Notices returns and forgets what other daemons must be told about suspected requests.
 func (s *State) Notices() []quarantine.Notice {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -33,6 +33,7 @@
 	lastGen   string // generation that was announced last
 	exclude   []string
 	tokens    int // of the complete answer
+	losses    int // upstreams lost while they ran the request
 }
 
 // Generate runs a generation and writes its events. An error is returned only
@@ -94,7 +95,11 @@
 		MaxTokens: g.call.MaxTokens, Priority: g.call.Service.Priority,
 	})
 	if err != nil {
-		t.held.Release(sendOutcome(err), errors.Is(err, upstream.ErrLost))
+		if outcome := sendOutcome(err); outcome == pool.UpstreamLost {
+			t.held.ReleaseLost(ctx)
+		} else {
+			t.held.Release(outcome, false)
+		}
 		g.observe(t, false)
 		return sendFailure(t, err)
 	}
@@ -110,7 +115,7 @@
 		if err != nil {
 			resumed, err := g.resumeUpstream(ctx, upCtx, t, next, err)
 			if err != nil {
-				t.held.Release(pool.UpstreamLost, true)
+				t.held.ReleaseLost(ctx)
 				g.observe(t, false)
 				return err
 			}
@@ -267,7 +272,10 @@
 	if !ran && !failure.From(err).NotRun() {
 		return false
 	}
-	if ran && !g.call.Service.Repeatable {
+	if ran {
+		g.losses++
+	}
+	if ran && (!g.call.Service.Repeatable || g.losses >= maxLosses) {
 		return false
 	}
 	if g.delivered && !(g.call.Service.Delivery == entity.DeliverRestart && g.call.AcceptRestart) {
@@ -340,7 +348,7 @@
 	defer cancel()
 	tokens, err := r.Engine.Resume(upCtx, token.Address, token.Attempt, token.Generation, next)
 	if err != nil {
-		held.Release(pool.UpstreamLost, true)
+		held.ReleaseLost(ctx)
 		return failure.New(failure.GenerationLost, "upstream %s cannot resume the generation: %v", token.Upstream, err)
 	}
 	r.Events.Record("stream-resumed", call.RequestID, "upstream", token.Upstream, "offset", itoa(next))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,8 @@
 	bytesPerToken = 4
 	// maxAttempts bounds the upstreams that one request is sent to.
 	maxAttempts = 4
+	// maxLosses bounds the upstreams that one request may lose: it may be the cause.
+	maxLosses = 2
 	// resumeGrace is how long a generation goes on after its caller's connection
 	// ended, so that a caller with a cut link can resume it.
 	resumeGrace = 2 * time.Second
