Report failed reloads of certificates; keep the request's identity over two handovers

A stream that was resumed and handed over again lost its fingerprint, and a caller that left while a link was being resumed counted as a lost upstream. Both were found by reading.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -301,7 +301,7 @@
 			continue
 		}
 		if conf.Revision != revision {
-			d.events.Record("config-applied", "", "revision", u64(conf.Revision))
+			d.events.Record("pools-synced", "", "revision", u64(conf.Revision))
 			d.trace.applied(conf)
 		}
 		epoch, revision, incarnation = snapshot.View.Epoch, conf.Revision, snapshot.Self.Incarnation
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -81,6 +81,10 @@
 	if err != nil {
 		return nil, failure.New(failure.InvalidSettings, "tls: %v", err)
 	}
+	if source != nil {
+		log := do.MustInvoke[logr.Logger](i)
+		source.Report = func(err error) { log.Error(err, "certificates were not reloaded") }
+	}
 	return source, nil
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -114,7 +114,10 @@
 		token, err := tokens.Next()
 		if err != nil {
 			resumed, err := g.resumeUpstream(ctx, upCtx, t, next, err)
-			if err != nil {
+			switch {
+			case errors.Is(err, errCallerGone): // this says nothing about the upstream
+				return g.callerGone(t)
+			case err != nil:
 				t.held.ReleaseLost(ctx)
 				g.observe(t, false)
 				return err
@@ -170,7 +173,7 @@
 	return stream.ResumeToken{
 		Request: g.call.RequestID, Attempt: g.call.attemptID, Account: g.call.Account.Name, Service: g.call.Service.Name, Version: t.version.Name,
 		Pool: t.pool.Name, Upstream: t.upstream.Name, Address: t.upstream.Address, Incarnation: p.Incarnation,
-		Generation: generation, Offset: offset, Permit: p.ID, Fingerprint: g.call.fingerprint(), PromptTokens: promptTokens(g.call),
+		Generation: generation, Offset: offset, Permit: p.ID, Fingerprint: t.fingerprint, PromptTokens: t.promptTokens,
 	}
 }
 
@@ -342,7 +345,8 @@
 	})
 	t := target{
 		held: held, pool: entity.Pool{Name: token.Pool}, version: entity.Version{Name: token.Version},
-		upstream: entity.Upstream{Name: token.Upstream, Address: token.Address, Pool: token.Pool},
+		upstream:    entity.Upstream{Name: token.Upstream, Address: token.Address, Pool: token.Pool},
+		fingerprint: token.Fingerprint, promptTokens: token.PromptTokens,
 	}
 	upCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,6 +143,9 @@
 	version  entity.Version
 	step     int // of the rollout in which the version was assigned
 	upstream entity.Upstream
+	// fingerprint and promptTokens describe the request, also on a host that only resumes it.
+	fingerprint  uint64
+	promptTokens int
 }
 
 // refusalsProveNotRun reports whether a refusal of the upstream proves that it did
@@ -195,7 +198,10 @@
 	for _, u := range p.Upstreams {
 		if u.Name == held.Permit().Upstream {
 			r.Events.Record("permit-granted", call.RequestID, "pool", p.Name, "upstream", u.Name, "version", version.Name)
-			return target{held: held, pool: p, version: version, upstream: u}, nil
+			return target{
+				held: held, pool: p, version: version, upstream: u,
+				fingerprint: call.fingerprint(), promptTokens: promptTokens(call),
+			}, nil
 		}
 	}
 	held.Release(pool.NeverSent, false)
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -19,6 +19,8 @@
 // Source serves the current certificate and trust roots. It is safe for concurrent use.
 type Source struct {
 	certFile, keyFile, caFile string
+	// Report receives the error of a reload that failed. Set before use.
+	Report func(error)
 
 	mu       sync.Mutex
 	checked  time.Time
@@ -32,7 +34,7 @@
 	if certFile == "" {
 		return nil, nil
 	}
-	s := &Source{certFile: certFile, keyFile: keyFile, caFile: caFile}
+	s := &Source{certFile: certFile, keyFile: keyFile, caFile: caFile, Report: func(error) {}}
 	if err := s.load(); err != nil {
 		return nil, err
 	}
@@ -73,7 +75,9 @@
 	if now := time.Now(); now.Sub(s.checked) > checkInterval {
 		s.checked = now
 		if s.modTimes() != s.modified {
-			_ = s.load()
+			if err := s.load(); err != nil {
+				s.Report(err)
+			}
 		}
 	}
 	return s.cert, s.roots
