Prune the view row as soon as its first member finds earlier views unusable

Cause: a daemon that restarted after two others had died could not see a strict majority of an earlier view move on, because members of that view were dead; it owned a pool and never granted. Ruled out: the host list, which the test empties.

--- a/internal/membership/runner/view.go
+++ b/internal/membership/runner/view.go
@@ -162,8 +162,11 @@
 		}
 		return
 	}
-	// Should the first member not reach the store, the list grows to the second bound.
-	if oldest := r.tracker.Prunable(now); len(row.view.Changes) > pruneAbove*(1+rank) && oldest >= row.view.Changes[0].Epoch {
+	// The first member prunes at once: a daemon that starts later cannot learn that
+	// an earlier view is unusable when members of that view have died, and would
+	// never grant. Should the first member not reach the store, the others prune a
+	// list that has grown.
+	if oldest := r.tracker.Prunable(now); len(row.view.Changes) > pruneAbove*rank && oldest >= row.view.Changes[0].Epoch {
 		r.writeView(ctx, row, row.view)
 	}
 	r.writeInForce(ctx, now, time.Duration(rank)*time.Second)
