Tell other hosts which engines said that they leave while the store is away

Cause: a host asks only the engines on which it has streams.

Ruled out: the age of the reports. The asking hosts knew of the notice within 5 ms of each other; those that did not know had never asked.

A notice now names the incarnation, goes to all hosts at once, and holds as long as the table names that incarnation (before: 15 s for the identifier, also after the engine had started again). Two tests failed first.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -184,6 +184,13 @@
 // their entry disappears.
 func (u *Upstream) Leaving() bool { return u.Draining || u.Lapsed }
 
+// Notice is the word of one incarnation of an upstream that it leaves. It is final:
+// an upstream that starts again under the same identifier is another incarnation.
+type Notice struct {
+	Upstream string
+	Born     int64
+}
+
 // Rollout is an operator's order to move a service to a version.
 type Rollout struct {
 	Service  string
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -113,7 +113,7 @@
 	f.rollouts = newRollouts(f)
 	f.turns = &turns{f: f, local: migration.NewTurns()}
 	f.gateway = gateway.New(gateway.Options{
-		Plain: s.Policy == PolicyPlain, Turns: f.turns, Outcome: f.rollouts.record,
+		Plain: s.Policy == PolicyPlain, Turns: f.turns, Outcome: f.rollouts.record, Announce: f.announce,
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
 		Pool: f.pool, Loads: f.loads, Hosts: f.hosts, Metrics: f.metrics, Log: log,
 	})
@@ -129,6 +129,9 @@
 	return f
 }
 
+// announce sends a round of gossip at once.
+func (f *FrontEnd) announce() { f.gossip.Send() }
+
 // hosts returns the number of hosts that share limits.
 func (f *FrontEnd) hosts() int { return f.members.CountLive(time.Now()) + 1 }
 
@@ -230,6 +233,7 @@
 	case gossip.NoLoads:
 	}
 	m.Losses = f.gateway.Suspects().Report()
+	m.Notices = f.gateway.Notices()
 	m.Tables = make(map[string]gossip.TableState, 2)
 	for _, t := range f.tables() {
 		_, confirmed, known := t.Status()
@@ -257,6 +261,7 @@
 	}
 	f.rollouts.merge(m.Evidence)
 	f.gateway.Suspects().Merge(m.Self.Name, m.Losses)
+	f.gateway.MergeNotices(m.Notices)
 	for _, t := range f.tables() {
 		theirs, ok := m.Tables[t.Name()]
 		if !ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	Plain bool
 	// Outcome is told of each request that an upstream ran.
 	Outcome func(Outcome)
+	// Announce tells the other hosts of a new notice at once.
+	Announce func()
 	// Hosts returns the number of hosts that share limits, including this one.
 	Hosts   func() int
 	Metrics *Metrics
@@ -90,7 +92,7 @@
 		Options: o, retries: retry.NewWindows(), suspects: NewSuspects(), streams: newStreams(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	g.notices.since = make(map[string]time.Time)
+	g.notices.known = make(map[catalog.Notice]bool)
 	g.published.Store(&catalog.Catalog{})
 	g.catalog.Store(&catalog.Catalog{})
 	return g
@@ -105,7 +107,7 @@
 // republish puts the published catalog in force, with the notices of engines.
 func (g *Gateway) republish() {
 	g.publishMu.Lock()
-	c := g.notices.overlay(g.published.Load(), time.Now())
+	c := g.notices.overlay(g.published.Load())
 	c.IndexUpstreams()
 	g.catalog.Store(c)
 	g.publishMu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,49 +18,80 @@
 	watchInterval = 300 * time.Millisecond
 	// watchTimeout bounds a question.
 	watchTimeout = 250 * time.Millisecond
-	// noticeTime is how long an engine's own word that it leaves is kept.
-	noticeTime = 15 * time.Second
 )
 
 // notices holds what engines said themselves while the store was not heard of.
 type notices struct {
-	mu    sync.Mutex
-	since map[string]time.Time
+	mu sync.Mutex
+	// known tells of each notice whether the engine gave it to this host itself.
+	known map[catalog.Notice]bool
 }
 
 // note records a notice; it returns false if it is known already.
-func (n *notices) note(id string, now time.Time) bool {
+func (n *notices) note(notice catalog.Notice, own bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, known := n.since[id]; known {
-		return false
+	_, known := n.known[notice]
+	n.known[notice] = n.known[notice] || own
+	return !known
+}
+
+// own returns the notices that engines gave to this host itself.
+func (n *notices) own() []catalog.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []catalog.Notice
+	for notice, own := range n.known {
+		if own {
+			out = append(out, notice)
+		}
 	}
-	n.since[id] = now
-	return true
+	return out
 }
 
 // overlay returns the catalog with the engines that gave notice marked as draining.
-func (n *notices) overlay(c *catalog.Catalog, now time.Time) *catalog.Catalog {
+// Notices of incarnations that the catalog no longer holds are dropped.
+func (n *notices) overlay(c *catalog.Catalog) *catalog.Catalog {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := c
-	for id, since := range n.since {
-		u := c.Upstreams[id]
+	for notice := range n.known {
+		u := c.Upstreams[notice.Upstream]
 		switch {
-		case now.Sub(since) > noticeTime:
-			delete(n.since, id)
-		case u != nil && !u.Draining:
+		case u == nil || u.Born != notice.Born:
+			delete(n.known, notice)
+		case !u.Draining:
 			if out == c {
 				out = c.WithUpstreams(maps.Clone(c.Upstreams))
 			}
 			leaving := *u
 			leaving.Draining = true
-			out.Upstreams[id] = &leaving
+			out.Upstreams[u.ID] = &leaving
 		}
 	}
 	return out
 }
 
+// Notices returns the notices that engines gave to this host, for the other hosts.
+func (g *Gateway) Notices() []catalog.Notice { return g.notices.own() }
+
+// MergeNotices takes notices that engines gave to another host. A host asks only the
+// engines on which it has streams, but all of them choose engines and destinations.
+func (g *Gateway) MergeNotices(told []catalog.Notice) {
+	news := false
+	for _, notice := range told {
+		u := g.published.Load().Upstreams[notice.Upstream]
+		if u == nil || u.Born != notice.Born || !g.notices.note(notice, false) {
+			continue
+		}
+		news = true
+		g.Log.Info("another host was told that an engine leaves", "upstream", u.ID)
+	}
+	if news {
+		g.republish()
+	}
+}
+
 // Watch asks the engines on which this host has streams whether they leave, while
 // the upstreams' table is old. It ends with ctx. It answers engines that leave
 // while the store is away: their notice would be known too late to move streams.
@@ -90,9 +121,10 @@
 		g.Log.V(1).Info("engine did not answer whether it leaves", "upstream", u.ID, "error", err.Error())
 		return
 	}
-	if !leaving || !g.notices.note(u.ID, time.Now()) {
+	if !leaving || !g.notices.note(catalog.Notice{Upstream: u.ID, Born: u.Born}, true) {
 		return
 	}
 	g.Log.Info("engine says that it leaves", "upstream", u.ID)
+	g.Announce()
 	g.republish()
 }
--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/catalog"
+)
+
+func engineOf(id string, born int64) *catalog.Upstream {
+	return &catalog.Upstream{ID: id, Service: "narration", Born: born}
+}
+
+func published(engines ...*catalog.Upstream) *catalog.Catalog {
+	c := &catalog.Catalog{Upstreams: map[string]*catalog.Upstream{}, UpstreamsKnown: true}
+	for _, u := range engines {
+		c.Upstreams[u.ID] = u
+	}
+	return c
+}
+
+// Guards against work and runs that hosts send to an engine of which only another host
+// knows, while the store is away, that it leaves or has left.
+func TestNoticesReachOtherHosts(t *testing.T) {
+	told, other := New(Options{Log: logr.Discard()}), New(Options{Log: logr.Discard()})
+	for _, g := range []*Gateway{told, other} {
+		g.Publish(published(engineOf("a", 1), engineOf("b", 1)))
+	}
+	require.True(t, told.notices.note(catalog.Notice{Upstream: "a", Born: 1}, true))
+	other.MergeNotices(told.Notices())
+	require.True(t, other.Catalog().Upstreams["a"].Draining)
+	require.False(t, other.Catalog().Upstreams["b"].Draining)
+	require.Empty(t, other.Notices(), "only the host that was told repeats a notice")
+	other.Publish(published(engineOf("a", 1), engineOf("b", 1)))
+	require.True(t, other.Catalog().Upstreams["a"].Draining, "a notice outlasts a new catalog")
+}
+
+// Guards against an engine that gets no work after it has started again, since its
+// former incarnation said that it leaves.
+func TestNoticesEndWithTheIncarnation(t *testing.T) {
+	g := New(Options{Log: logr.Discard()})
+	g.Publish(published(engineOf("a", 1)))
+	g.MergeNotices([]catalog.Notice{{Upstream: "a", Born: 1}, {Upstream: "unknown", Born: 1}})
+	g.Publish(published(engineOf("a", 2)))
+	require.False(t, g.Catalog().Upstreams["a"].Draining)
+	g.MergeNotices([]catalog.Notice{{Upstream: "a", Born: 1}})
+	require.False(t, g.Catalog().Upstreams["a"].Draining, "a late datagram about the former incarnation")
+	require.Empty(t, g.notices.known)
+}
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
+	"github.com/rattanscale/rattanscale/internal/catalog"
 )
 
 // State is what a host says of itself.
@@ -68,6 +69,8 @@
 	Loads  map[string]balance.Load
 	// Losses counts the broken runs of suspected requests at the sender.
 	Losses map[uint64]int
+	// Notices names the engines that told the sender that they leave.
+	Notices []catalog.Notice
 	// Evidence is the sender's evidence on rollouts by service, in full rounds.
 	Evidence map[string][]byte
 	// Reply is set in answers, which are not answered again.
