Give no turn to a host that has stopped waiting for it

Cause: a host waits 700 ms for a turn to copy a run, and so does the owner; the host's wait ends first by the time of the call. A turn granted in between, and one granted after the stream had ended, kept the links of a source and of a destination for the whole lease of 0.9 s.

The asking host now names its request, and releases it also when its call has ended without an answer. The owner's wait ends before the call does. A turn whose destination has left the catalog is given back too.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -19,7 +19,6 @@
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/hop"
-	"github.com/rattanscale/rattanscale/internal/migration"
 	"github.com/rattanscale/rattanscale/internal/peer"
 )
 
@@ -111,7 +110,7 @@
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer,
 	})
 	f.rollouts = newRollouts(f)
-	f.turns = &turns{f: f, local: migration.NewTurns()}
+	f.turns = newTurns(f)
 	f.gateway = gateway.New(gateway.Options{
 		Plain: s.Policy == PolicyPlain, Turns: f.turns, Outcome: f.rollouts.record, Announce: f.announce,
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
@@ -177,8 +176,7 @@
 	s := f.settings
 	f.server, f.client = peer.New(peer.Options{Address: s.Listen.Peer, Key: s.Peers.Key, Logger: f.log, CallTimeout: fetchTimeout})
 	peer.Register(f.server, methodChanges, f.changes)
-	peer.Register(f.server, methodTurn, f.turns.serveTurn)
-	peer.Register(f.server, methodRelease, f.turns.serveRelease)
+	f.turns.register(f.server)
 	listener, err := net.Listen("tcp", s.Listen.Peer)
 	if err != nil {
 		return err
--- a/internal/frontend/turns.go
+++ b/internal/frontend/turns.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/migration"
+	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/routing"
 )
 
 const (
 	methodTurn    = "move.turn"
 	methodRelease = "move.release"
-	// turnWait bounds one call for a turn; the caller asks again while there is time.
+	// turnWait bounds the wait for a turn at its owner; the asking host asks again while
+	// there is time.
 	turnWait = 700 * time.Millisecond
+	// turnCall bounds the call besides: hosts are some milliseconds apart, and the owner
+	// may be slow.
+	turnCall = turnWait + 200*time.Millisecond
 )
 
 // turns gives out the links of a data centre's engines to one copy at a time. The
@@ -24,6 +30,14 @@
 	local *migration.Turns
 }
 
+func newTurns(f *FrontEnd) *turns { return &turns{f: f, local: migration.NewTurns()} }
+
+// register makes the turns of this host's data centres known to other hosts.
+func (t *turns) register(server *peer.Server) {
+	peer.Register(server, methodTurn, t.serveTurn)
+	peer.Register(server, methodRelease, t.serveRelease)
+}
+
 type turnAnswer struct {
 	Turn    migration.Turn `json:"turn"`
 	Granted bool           `json:"granted"`
@@ -61,26 +75,34 @@
 // Acquire asks the owner for a turn. A copy whose owner can not be reached goes
 // ahead to the preferred destination.
 func (t *turns) Acquire(ctx context.Context, dataCentre string, r migration.TurnRequest) (migration.Turn, func(), bool) {
+	r.ID = rand.Uint64()
 	owner := t.owner(dataCentre)
-	ctx, cancel := context.WithTimeout(ctx, turnWait)
-	defer cancel()
 	if owner == "" {
-		turn, ok := t.local.Acquire(ctx, r)
-		return turn, func() { t.local.Release(turn.ID) }, ok
+		a, err := t.serveTurn(ctx, r)
+		return a.Turn, func() { t.local.Release(r.ID) }, err == nil && a.Granted
 	}
+	ctx, cancel := context.WithTimeout(ctx, turnCall)
+	defer cancel()
 	var a turnAnswer
-	if err := t.f.client.Call(ctx, owner, methodTurn, r, &a); err != nil {
-		if ctx.Err() != nil || len(r.Rooms) == 0 {
-			return migration.Turn{}, nil, false
-		}
+	err := t.f.client.Call(ctx, owner, methodTurn, r, &a)
+	switch {
+	case err == nil:
+		return a.Turn, func() { t.release(owner, r.ID) }, a.Granted
+	case ctx.Err() != nil || len(r.Rooms) == 0:
+		go t.release(owner, r.ID) // the answer may be on its way
+		return migration.Turn{}, nil, false
+	default:
 		t.f.log.Info("owner of moves not reached", "owner", owner, "request", r.Run, "error", err.Error())
 		return migration.Turn{Destination: r.Rooms[0].Engine}, func() {}, true
 	}
-	release := func() {
-		// A release that is lost is replaced by the end of the turn's lease.
-		if err := t.f.client.Notify(context.Background(), owner, methodRelease, turnRelease{a.Turn.ID}); err != nil {
-			t.f.log.Info("turn could not be released", "owner", owner, "error", err.Error())
-		}
+}
+
+// release tells the owner that this host has no use for a turn, or no longer waits for
+// it. A release that is lost is replaced by the end of the turn's lease.
+func (t *turns) release(owner string, id uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), turnWait)
+	defer cancel()
+	if err := t.f.client.Notify(ctx, owner, methodRelease, turnRelease{id}); err != nil {
+		t.f.log.Info("turn could not be released", "owner", owner, "error", err.Error())
 	}
-	return a.Turn, release, a.Granted
 }
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -179,12 +179,16 @@
 	turn, release, ok := g.Turns.Acquire(ctx, source.DataCentre, migration.TurnRequest{
 		Run: s.call.info.ID, Source: source.ID, Tokens: s.call.tokens(), Worth: worth, Rooms: rooms,
 	})
-	target := g.Catalog().Upstreams[turn.Destination]
-	if !ok || target == nil {
+	if !ok {
 		g.noteMove(s, source, nil, began, "no turn in time")
 		return false
 	}
 	defer release()
+	target := g.Catalog().Upstreams[turn.Destination]
+	if target == nil {
+		g.noteMove(s, source, nil, began, "the destination is gone")
+		return false
+	}
 	turned := time.Now()
 	work := balance.Load{Requests: 1, Tokens: s.call.tokens()}
 	g.Loads.Start(target.ID, work)
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -19,10 +19,19 @@
 	require.Equal(t, -1, Next(nil))
 }
 
+var requests uint64
+
+// withID names a request as hosts do.
+func withID(r TurnRequest) TurnRequest {
+	requests++
+	r.ID = requests
+	return r
+}
+
 func acquire(t *testing.T, turns *Turns, r TurnRequest) Turn {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	turn, ok := turns.Acquire(ctx, r)
+	turn, ok := turns.Acquire(ctx, withID(r))
 	require.True(t, ok)
 	return turn
 }
@@ -30,7 +39,7 @@
 func tryAcquire(t *testing.T, turns *Turns, r TurnRequest) bool {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	_, ok := turns.Acquire(ctx, r)
+	_, ok := turns.Acquire(ctx, withID(r))
 	return ok
 }
 
@@ -73,3 +82,20 @@
 	require.Empty(t, turns.held)
 	require.Empty(t, turns.waiting)
 }
+
+// Guards against a turn that is granted to a host whose call has timed out meanwhile.
+func TestReleaseEndsAWait(t *testing.T) {
+	turns := NewTurns()
+	first := acquire(t, turns, TurnRequest{Run: "1", Source: "a", Tokens: 1, Rooms: rooms})
+	waiting := withID(TurnRequest{Run: "2", Source: "a", Tokens: 1, Rooms: rooms})
+	ended := make(chan bool)
+	go func() {
+		_, ok := turns.Acquire(t.Context(), waiting)
+		ended <- ok
+	}()
+	require.Eventually(t, func() bool { turns.mu.Lock(); defer turns.mu.Unlock(); return len(turns.waiting) == 1 }, 10*time.Second, time.Millisecond)
+	turns.Release(waiting.ID)
+	require.False(t, <-ended)
+	turns.Release(first.ID)
+	require.Empty(t, turns.held)
+}
--- a/internal/migration/turns.go
+++ b/internal/migration/turns.go
@@ -25,6 +25,8 @@
 
 // TurnRequest asks to copy one run.
 type TurnRequest struct {
+	// ID names the request and its turn; the asking host draws it at random.
+	ID     uint64 `json:"id"`
 	Run    string `json:"run"`
 	Source string `json:"source"`
 	// Tokens is the memory that the run needs at its end.
@@ -37,6 +39,7 @@
 
 // Turn is the permission to copy a run to a destination.
 type Turn struct {
+	// ID is that of the request.
 	ID          uint64 `json:"id"`
 	Destination string `json:"destination"`
 }
@@ -63,7 +66,6 @@
 // It is safe for concurrent use.
 type Turns struct {
 	mu       sync.Mutex
-	next     uint64
 	held     map[uint64]heldTurn
 	promises []promise
 	waiting  []*waiter
@@ -72,7 +74,7 @@
 // NewTurns returns turns of which none is held.
 func NewTurns() *Turns { return &Turns{held: make(map[uint64]heldTurn)} }
 
-// Acquire waits for a turn; it returns false when ctx ends first.
+// Acquire waits for a turn; it returns false when ctx ends or the request is released first.
 func (t *Turns) Acquire(ctx context.Context, r TurnRequest) (Turn, bool) {
 	w := &waiter{request: r, granted: make(chan Turn, 1)}
 	t.mu.Lock()
@@ -93,8 +95,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case turn := <-w.granted:
-			return turn, true
+		case turn, ok := <-w.granted:
+			return turn, ok
 		case now := <-ticker.C:
 			t.mu.Lock()
 			t.grant(now)
@@ -106,21 +108,22 @@
 }
 
 func (t *Turns) abandon(w *waiter) (Turn, bool) {
-	t.mu.Lock()
-	t.waiting = slices.DeleteFunc(t.waiting, func(o *waiter) bool { return o == w })
-	t.mu.Unlock()
-	select {
-	case turn := <-w.granted: // granted at the last moment, and of no use any more
-		t.Release(turn.ID)
-	default:
-	}
+	t.Release(w.request.ID) // it may have been granted at the last moment
 	return Turn{}, false
 }
 
-// Release gives a turn back.
+// Release gives the turn of a request back, or ends its wait. A host that stops waiting
+// calls it as well: the turn may be granted while its call times out.
 func (t *Turns) Release(id uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.waiting = slices.DeleteFunc(t.waiting, func(w *waiter) bool {
+		if w.request.ID != id {
+			return false
+		}
+		close(w.granted)
+		return true
+	})
 	delete(t.held, id)
 	t.grant(time.Now())
 }
@@ -138,10 +141,9 @@
 		if destination == "" {
 			return false
 		}
-		t.next++
-		t.held[t.next] = heldTurn{w.request.Source, destination, now.Add(turnLease)}
+		t.held[w.request.ID] = heldTurn{w.request.Source, destination, now.Add(turnLease)}
 		t.promises = append(t.promises, promise{destination, w.request.Tokens, now.Add(promiseTime)})
-		w.granted <- Turn{ID: t.next, Destination: destination}
+		w.granted <- Turn{ID: w.request.ID, Destination: destination}
 		return true
 	})
 }
