Name different hosts to different callers where a site has more than fit into an answer

Cause: the directory answers with at most 64 addresses, and took the first 64 by name. A random choice would make callers leave their connections with each answer, so the 64 are chosen by rendezvous hashing over the caller's address and data centre; the ranking of the product's own directory is used for it.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -20,6 +20,8 @@
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/peer"
+	"github.com/rattanscale/rattanscale/internal/retry"
+	"github.com/rattanscale/rattanscale/internal/routing"
 )
 
 const (
@@ -59,7 +61,7 @@
 	// Catalog returns the mirrored tables; they publish a catalog on each change.
 	Catalog func(log logr.Logger, publish func(*catalog.Catalog)) Catalog
 	// Directory and Readiness answer in the form of the platform.
-	Directory func(addresses func() (addresses []string, validity time.Duration)) http.Handler
+	Directory func(addresses func(caller string, limit int) (addresses []string, validity time.Duration)) http.Handler
 	Readiness func(ready func() bool) http.Handler
 }
 
@@ -420,18 +422,18 @@
 	return f.ready() && f.members.Self().State != gossip.Leaving
 }
 
-// callerAddresses returns the addresses of hosts that callers can use.
-func (f *FrontEnd) callerAddresses() ([]string, time.Duration) {
-	var out []string
-	if f.acceptsCallers() {
-		out = append(out, f.settings.Listen.Caller)
-	}
+// callerAddresses returns the addresses of hosts that a caller can use. Where there are
+// more than fit into an answer, a caller always gets the same ones, since it stops using
+// connections to hosts that a new answer leaves out, and different callers get different
+// ones. caller tells callers apart.
+func (f *FrontEnd) callerAddresses(caller string, limit int) ([]string, time.Duration) {
+	self := f.members.Self()
+	hosts := []routing.Host{{Name: self.Name, Address: self.CallerAddress, Ready: f.acceptsCallers()}}
 	for _, m := range f.members.Live(time.Now()) {
-		if m.State == gossip.Ready {
-			out = append(out, m.CallerAddress)
-		}
+		hosts = append(hosts, routing.Host{Name: m.Name, Address: m.CallerAddress, Ready: m.State == gossip.Ready})
 	}
-	return out, f.settings.Directory.Validity
+	chosen := routing.RankHosts(hosts, "", retry.Hash(caller), limit)
+	return lo.Map(chosen, func(h routing.Host, _ int) string { return h.Address }), f.settings.Directory.Validity
 }
 
 func (f *FrontEnd) metricsHandler() http.Handler {
