Let a stopping host take only streams that end in time for certain, once callers know

Estimates are right at the median only. From 2.8 s after the signal, when callers have learnt that the host leaves, the host now counts with the request's stated limit of output; what does not fit is refused as not run and goes to another host.

Ruled out: a late SIGTERM or a slow drain (it ended 7.6 s after the signal, as planned).

--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -18,6 +18,9 @@
 	// callersLeave is the time in which callers learn that the host is leaving:
 	// answers of the directory are valid for two seconds.
 	callersLeave = 3 * time.Second
+	// certainAfter is the time from which on a stopping host takes only what ends for
+	// certain. Callers may send until callersLeave; the rest is the way of a request.
+	certainAfter = callersLeave - 200*time.Millisecond
 	// drainPoll is the interval at which requests in progress are counted.
 	drainPoll = 50 * time.Millisecond
 	// asideTimeout bounds requests to the directory and to readiness.
@@ -75,8 +78,8 @@
 	end := began.Add(f.settings.Drain.Limit - drainMargin)
 	f.log.Info("draining", "active", f.gateway.Active())
 	f.members.SetState(gossip.Leaving)
-	f.gateway.Leave(end)
-	f.gossip.Send()
+	f.gateway.Leave(began.Add(certainAfter), end)
+	f.announce()
 	for time.Now().Before(end) {
 		if time.Since(began) >= callersLeave && f.gateway.Active() == 0 {
 			break
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 	random   *rand.Rand
 }
 
-type leave struct{ until time.Time }
+type leave struct{ certainFrom, until time.Time }
 
 // New returns a gateway without a catalog; it refuses requests until one is published.
 func New(o Options) *Gateway {
@@ -128,8 +128,10 @@
 // SetVersionRules replaces the shares of versions, by service.
 func (g *Gateway) SetVersionRules(rules map[string]catalog.VersionRule) { g.rules.Store(&rules) }
 
-// Leave makes the gateway refuse work that would not end before the given moment.
-func (g *Gateway) Leave(until time.Time) { g.leaving.Store(&leave{until}) }
+// Leave makes the gateway refuse work that is not expected to end before until. From
+// certainFrom on, when callers know that the host leaves, it takes only what ends in
+// time for certain: another host can do the rest.
+func (g *Gateway) Leave(certainFrom, until time.Time) { g.leaving.Store(&leave{certainFrom, until}) }
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
@@ -305,7 +307,7 @@
 		c.refuse("the request has crashed upstreams", maxRetryAfter)
 		return false
 	}
-	if leaving := c.g.leaving.Load(); leaving != nil && time.Now().Add(c.expected()).After(leaving.until) {
+	if leaving := c.g.leaving.Load(); leaving != nil && !c.endsBefore(leaving, time.Now()) {
 		c.refuse("the host is stopping", leaveRetry)
 		return false
 	}
@@ -317,13 +319,18 @@
 	return retry.Hash(c.account + "\x00" + c.r.RequestURI + "\x00" + string(c.body))
 }
 
-// expected estimates how long an answer takes.
-func (c *call) expected() time.Duration {
-	if c.route.Kind != catalog.Stream {
-		return c.route.Target
+// endsBefore reports whether a stopping host may take the request on. Estimates of a
+// length are right at the median only.
+func (c *call) endsBefore(l *leave, now time.Time) bool {
+	took := c.route.Target
+	if c.route.Kind == catalog.Stream {
+		tokens := c.outputTokens()
+		if !now.Before(l.certainFrom) {
+			tokens = max(tokens, c.info.MaxOutputTokens)
+		}
+		took += time.Duration(tokens) * expectedStep
 	}
-	tokens := c.outputTokens()
-	return c.route.Target + time.Duration(tokens)*expectedStep
+	return !now.Add(took).After(l.until)
 }
 
 // outputTokens estimates the length of a generation.
