Divide large sites into cells

Cause: above 96 hosts each host still told all others its loads once a second, and its data centre of each change.

Hosts and upstreams of a data centre now fall into cells of 24 to 48 hosts. Loads and changes stay in the cell, other cells are told who lives once a second, and each cell reads the store itself.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -36,6 +36,9 @@
 	operatorPace = 100 * time.Millisecond
 	// tickInterval is the time between rounds of housekeeping.
 	tickInterval = 250 * time.Millisecond
+	// evidenceInterval is how often hosts of a divided site tell all others of the
+	// evidence on rollouts; a bad version is to be found within seconds.
+	evidenceInterval = time.Second
 	// fetchTimeout bounds a fetch of changes from another host.
 	fetchTimeout = time.Second
 	// memoryShare is the share of the memory limit at which the garbage collector
@@ -114,7 +117,7 @@
 	f.rollouts = newRollouts(f)
 	f.turns = newTurns(f)
 	f.gateway = gateway.New(gateway.Options{
-		Plain: s.Policy == PolicyPlain, Turns: f.turns, Outcome: f.rollouts.record, Announce: f.announce,
+		Plain: s.Policy == PolicyPlain, Turns: f.turns, Outcome: f.rollouts.record, Announce: f.announce, Spread: f.spread, Cell: f.cell,
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
 		Pool: f.pool, Loads: f.loads, Hosts: f.hosts, Metrics: f.metrics, Log: log,
 	})
@@ -130,8 +133,29 @@
 	return f
 }
 
-// announce sends a round of gossip at once.
-func (f *FrontEnd) announce() { f.gossip.Send() }
+// announce tells the cell of news at once and all other hosts with the next round.
+func (f *FrontEnd) announce() {
+	f.spread()
+	f.gossip.Send()
+}
+
+// spread tells all hosts with the next round.
+func (f *FrontEnd) spread() { f.gossip.Spread() }
+
+// cell returns which upstreams this host's cell prefers.
+func (f *FrontEnd) cell() (own func(dataCentre, upstream string) bool, divided bool) {
+	cells := f.members.Cells()
+	return cells.Own, cells.Divided()
+}
+
+// locate returns the data centre of an upstream.
+func (f *FrontEnd) locate(upstream string) (dataCentre string, known bool) {
+	u := f.gateway.Catalog().Upstreams[upstream]
+	if u == nil {
+		return "", false
+	}
+	return u.DataCentre, true
+}
 
 // hosts returns the number of hosts that share limits.
 func (f *FrontEnd) hosts() int { return f.members.CountLive(time.Now()) + 1 }
@@ -193,7 +217,7 @@
 	}
 	f.gossip = &gossip.Transport{
 		Table: f.members, Conn: conn, Seeds: f.seeds(), Compose: f.compose, Received: f.received,
-		Changed: f.loads.Changed(), Log: f.log,
+		Changed: f.loads.Changed(), Locate: f.locate, Log: f.log,
 	}
 	group.Go(func() error { return f.server.Serve(listener) })
 	group.Go(func() error { f.gossip.Run(ctx); return nil })
@@ -340,8 +364,8 @@
 			if !needed() {
 				return false
 			}
-			rank := f.members.Rank(now)
-			if rank < f.settings.Store.Readers && (f.isSeed() || now.Sub(f.startedAt) > startGrace) {
+			rank := f.members.CellRank(now)
+			if rank < f.readers() && (f.isSeed() || now.Sub(f.startedAt) > startGrace) {
 				return true
 			}
 			_, confirmed, known := t.Status()
@@ -354,6 +378,15 @@
 	reader.Run(ctx)
 }
 
+// readers is the number of hosts of a cell that read the store. On a divided site each
+// cell has one: there are several cells, and other hosts step in where it fails.
+func (f *FrontEnd) readers() int {
+	if f.members.Cells().Divided() {
+		return 1
+	}
+	return f.settings.Store.Readers
+}
+
 // announcing tells the peers of changes at once.
 type announcing struct {
 	follow.Store
@@ -373,11 +406,16 @@
 func (f *FrontEnd) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var spread time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if f.rolloutsOrdered() && now.Sub(spread) >= evidenceInterval {
+				f.spread()
+				spread = now
+			}
 			f.catalog.Tick(now)
 			f.rollouts.tick(ctx, now)
 			f.pool.Sweep(now)
--- /dev/null
+++ b/internal/gateway/cell_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/balance"
+	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/retry"
+)
+
+// divided makes the gateway's cell prefer one of eight parts of the engines.
+func divided(g *Gateway) {
+	g.Cell = func() (func(_, upstream string) bool, bool) {
+		return func(_, upstream string) bool { return retry.Hash(upstream)%8 == 3 }, true
+	}
+}
+
+// Guards against hosts of a divided site that choose engines whose load they do not
+// know while their own cell has room. The load is 400 generations on 200 engines.
+func TestEnginesOfTheCellComeFirst(t *testing.T) {
+	g, service := crowd(200, func(int, *catalog.Upstream) {})
+	divided(g)
+	own, _ := g.Cell()
+	work := balance.Load{Requests: 1, Tokens: 8000}
+	room, others := 0, 0
+	for id := range g.Catalog().Upstreams {
+		if own("", id) {
+			room += 34_000 / work.Tokens
+		}
+	}
+	for i := range 400 {
+		u := g.choose(g.Catalog(), service, fmt.Sprint(i), work.Tokens, nil, time.Now())
+		require.NotNil(t, u)
+		if !own("", u.ID) {
+			others++
+		} else {
+			require.Zero(t, others, "request %d: the cell has room although others were chosen", i)
+		}
+		g.Loads.Start(u.ID, work)
+	}
+	require.Equal(t, 400-room, others, "all room of the cell is used before engines of others are")
+}
+
+// Guards against refusals while no engine of the cell may be used.
+func TestOtherEnginesServeWhereTheCellHasNone(t *testing.T) {
+	g, service := crowd(200, func(_ int, u *catalog.Upstream) { u.Draining = retry.Hash(u.ID)%8 == 3 })
+	divided(g)
+	u := g.choose(g.Catalog(), service, "r", 1000, nil, time.Now())
+	require.NotNil(t, u)
+	require.False(t, u.Draining)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,10 +46,13 @@
 	Plain bool
 	// Outcome is told of each request that an upstream ran.
 	Outcome func(Outcome)
-	// Announce tells the other hosts of a new notice at once.
-	Announce func()
+	// Announce tells the other hosts of a new notice at once, Spread with the next round.
+	Announce, Spread func()
 	// Hosts returns the number of hosts that share limits, including this one.
-	Hosts   func() int
+	Hosts func() int
+	// Cell returns which upstreams this host's cell prefers; divided is false where all
+	// hosts share all upstreams. It knows the loads of other cells' upstreams badly.
+	Cell    func() (own func(dataCentre, upstream string) bool, divided bool)
 	Metrics *Metrics
 	Log     logr.Logger
 }
@@ -351,7 +354,8 @@
 
 // choose picks an upstream for a request that is expected to hold the tokens, or
 // returns nil. With many hosts it looks at some sound upstreams first, and at all only
-// where none of these may take the request. The baseline always looks at all.
+// where none of these may take the request; on a divided site at those of this host's
+// cell before that. The baseline always looks at all.
 func (g *Gateway) choose(cat *catalog.Catalog, service *catalog.Service, request string, tokens int, tried []string, now time.Time) *catalog.Upstream {
 	allowed := g.versions(service.Name, request)
 	usable := func(u *catalog.Upstream) bool {
@@ -359,32 +363,44 @@
 	}
 	hosts, all := g.Hosts(), cat.OfService(service.Name)
 	sound := func(u *catalog.Upstream) bool { return !u.Lapsed && usable(u) && !g.Loads.Avoids(u.ID, now) }
-	if drawn := g.draw(all, balance.Enough(hosts), sound); len(drawn) > 0 && !g.Plain {
-		if u := g.chooseAmong(drawn, service, tokens, hosts, now); u != nil {
+	if own, divided := g.Cell(); divided && !g.Plain {
+		near := g.draw(all, balance.Enough(hosts), func(u *catalog.Upstream) bool { return own(u.DataCentre, u.ID) && sound(u) })
+		if u := g.chooseAmong(near, service, tokens, hosts, now); u != nil && g.hasRoom(u, service, tokens, now) {
 			return u
 		}
 	}
+	if enough := balance.Enough(hosts); len(all) > enough && !g.Plain {
+		if drawn := g.draw(all, enough, sound); len(drawn) == enough {
+			if u := g.chooseAmong(drawn, service, tokens, hosts, now); u != nil {
+				return u
+			}
+		}
+	}
 	return g.chooseAmong(lo.Filter(all, func(u *catalog.Upstream, _ int) bool { return usable(u) }), service, tokens, hosts, now)
 }
 
-// draw returns enough upstreams, or none if there are fewer. It starts at a random
-// one, so that hosts draw different ones.
+// hasRoom reports whether the request fits into an upstream at once.
+func (g *Gateway) hasRoom(u *catalog.Upstream, service *catalog.Service, tokens int, now time.Time) bool {
+	c := g.candidate(u, service, g.Loads.View([]string{u.ID}, now)[0])
+	return !balance.Full([]balance.Candidate{c}, tokens)
+}
+
+// draw returns enough upstreams, or all that fit if these are fewer. It starts at a
+// random one, so that hosts draw different ones.
 func (g *Gateway) draw(all []*catalog.Upstream, enough int, fits func(*catalog.Upstream) bool) []*catalog.Upstream {
-	if len(all) <= enough {
+	if len(all) == 0 {
 		return nil
 	}
 	g.randomMu.Lock()
 	first := g.random.IntN(len(all))
 	g.randomMu.Unlock()
-	out := make([]*catalog.Upstream, 0, enough)
-	for i := range all {
+	var out []*catalog.Upstream
+	for i := 0; i < len(all) && len(out) < enough; i++ {
 		if u := all[(first+i)%len(all)]; fits(u) {
-			if out = append(out, u); len(out) == enough {
-				return out
-			}
+			out = append(out, u)
 		}
 	}
-	return nil
+	return out
 }
 
 // chooseAmong picks one of the upstreams, in the order of their cost, whose rate for
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -187,6 +187,7 @@
 	c.g.Loads.Failed(u.ID, now)
 	if current := c.g.Catalog().Upstreams[u.ID]; current != nil && !current.Draining {
 		c.g.suspects.Lost(c.fingerprint, now)
+		c.g.Spread() // the request may come again at any host
 	}
 }
 
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -257,25 +257,31 @@
 }
 
 // rooms returns the engines with room for the run, the least loaded first: those of
-// the source's data centre, and those of others only if it has none. A copy to
-// another data centre takes twice as long.
+// this host's cell, else those of the source's data centre, and those of others only if
+// that has none. A copy to another data centre takes twice as long.
 func (g *Gateway) rooms(s *stream, source *catalog.Upstream, service *catalog.Service) []migration.Room {
 	cat := g.Catalog()
-	var near, far []string
-	for id, u := range cat.Upstreams {
-		if u.Service != source.Service || id == source.ID || !cat.Usable(u) || u.Lapsed || slices.Contains(s.full, id) {
+	ownCell, divided := g.Cell()
+	var own, near, far []string
+	for _, u := range cat.OfService(source.Service) {
+		if u.ID == source.ID || !cat.Usable(u) || u.Lapsed || slices.Contains(s.full, u.ID) {
 			continue
 		}
-		if u.DataCentre == source.DataCentre {
-			near = append(near, id)
-		} else {
-			far = append(far, id)
+		switch {
+		case u.DataCentre != source.DataCentre:
+			far = append(far, u.ID)
+		case divided && ownCell(u.DataCentre, u.ID):
+			own = append(own, u.ID)
+		default:
+			near = append(near, u.ID)
 		}
 	}
-	if rooms := g.roomsAt(near, s, cat, service); len(rooms) > 0 {
-		return rooms
+	for _, ids := range [][]string{own, near, far} {
+		if rooms := g.roomsAt(ids, s, cat, service); len(rooms) > 0 {
+			return rooms
+		}
 	}
-	return g.roomsAt(far, s, cat, service)
+	return nil
 }
 
 func (g *Gateway) roomsAt(ids []string, s *stream, cat *catalog.Catalog, service *catalog.Service) []migration.Room {
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
@@ -33,6 +34,9 @@
 	Incarnation int64
 	Beat        uint64
 	State       State
+	// Age is the time since the host's last sign of life that the sender knows of, in
+	// milliseconds; 0 for the sender itself.
+	Age int64
 	// The rest is left out of most datagrams; it is the same for an incarnation.
 	DataCentre string
 	// CallerAddress is where callers connect, PeerAddress where other hosts do.
@@ -100,11 +104,10 @@
 	// loadsInterval is the time after which a host is sent all loads again, in case a
 	// datagram with a change was lost. Reports count for three times as long.
 	loadsInterval = time.Second
-	// nearAll is the number of hosts that one host tells of a change at once; the
-	// largest site measured has 90.
-	nearAll = 96
-	// othersPerMessage bounds the members in a datagram.
-	othersPerMessage = 3
+	// othersPerMessage bounds the members in a datagram to a host of the own cell, and
+	// othersForStarting those in an answer to a host that starts.
+	othersPerMessage  = 3
+	othersForStarting = 24
 )
 
 type entry struct {
@@ -115,6 +118,17 @@
 	heardBeat        uint64
 	// told is when the host was last sent all loads.
 	told time.Time
+	// since is when this host learnt of the incarnation.
+	since time.Time
+	// far is set while the host is in another cell.
+	far bool
+}
+
+func (e *entry) live(now time.Time) bool {
+	if e.far {
+		return now.Sub(e.seen) <= farSilence
+	}
+	return now.Sub(e.seen) <= Silence
 }
 
 // Table holds the hosts that this host knows. It is safe for concurrent use.
@@ -124,13 +138,20 @@
 	others map[string]*entry
 	random *rand.Rand
 	turn   int
+
+	cells atomic.Pointer[Cells]
 }
 
 // NewTable returns a table that knows only its own host.
 func NewTable(self Member) *Table {
-	return &Table{self: self, others: make(map[string]*entry), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), turn: rand.IntN(1 << 16)}
+	t := &Table{self: self, others: make(map[string]*entry), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), turn: rand.IntN(1 << 16)}
+	t.cells.Store(&Cells{})
+	return t
 }
 
+// Cells returns the cells of the site, as they were in the last round.
+func (t *Table) Cells() *Cells { return t.cells.Load() }
+
 // SetState changes what this host says of itself.
 func (t *Table) SetState(s State) {
 	t.mu.Lock()
@@ -146,18 +167,56 @@
 	return t.self
 }
 
-// Beat counts one round and returns what is said of this host and, in a full round,
-// of some others.
-func (t *Table) Beat(now time.Time, full bool) (Member, []Member) {
+// Beat counts one message and returns what it says of this host; full adds what is the
+// same for an incarnation.
+func (t *Table) Beat(full bool) Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.Beat++
 	if !full {
-		return t.self.brief(), nil
+		return t.self.brief()
+	}
+	return t.self
+}
+
+// Introduced returns up to limit hosts, drawn at random, of whom another host is told:
+// those of its cell on a divided site, and any others else.
+func (t *Table) Introduced(to Member, now time.Time, limit int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cells, candidates := t.Cells(), t.liveLocked(now)
+	if cells.Divided() {
+		candidates = slices.Clone(cells.Around(to.DataCentre, to.Name))
 	}
-	live := t.liveLocked(now)
-	t.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return t.self, live[:min(len(live), othersPerMessage)]
+	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return t.told(candidates[:min(len(candidates), limit)], now)
+}
+
+// told returns what is told of hosts.
+func (t *Table) told(hosts []Member, now time.Time) []Member {
+	out := make([]Member, 0, len(hosts))
+	for _, m := range hosts {
+		if e := t.others[m.Name]; e != nil {
+			m = e.member
+			m.Age = now.Sub(e.seen).Milliseconds()
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Digest returns the other hosts of this host's cell, as they are told to other cells.
+// Hosts are introduced with their addresses while they are new, or all of them.
+func (t *Table) Digest(now time.Time, introduce bool) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.told(t.Cells().Near(), now)
+	for i, m := range out {
+		if !introduce && now.Sub(t.others[m.Name].since) >= introduceFor {
+			out[i] = m.brief()
+		}
+	}
+	return out
 }
 
 // Learn merges a message. It reports whether the sender is new or has changed its state.
@@ -201,30 +260,12 @@
 	return false
 }
 
-// Near returns the live hosts that are told of changed loads at once: all of them,
-// or from a certain number on those of the host's own data centre.
-func (t *Table) Near(now time.Time) []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	live := t.liveLocked(now)
-	if len(live) <= nearAll {
-		return live
-	}
-	var out []Member
-	for _, m := range live {
-		if m.DataCentre == t.self.DataCentre && len(out) < nearAll {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // learnLocked takes news of a host; direct is set if the host sent it itself.
 func (t *Table) learnLocked(m Member, now time.Time, direct bool) bool {
 	if m.Name == t.self.Name || m.Name == "" {
 		return false
 	}
-	e := t.others[m.Name]
+	e, seen := t.others[m.Name], now.Add(-time.Duration(m.Age)*time.Millisecond)
 	if m.PeerAddress == "" {
 		if e == nil || e.member.Incarnation != m.Incarnation {
 			return false // the next full datagram introduces the host
@@ -232,7 +273,8 @@
 		m.DataCentre, m.CallerAddress, m.PeerAddress = e.member.DataCentre, e.member.CallerAddress, e.member.PeerAddress
 	}
 	if e == nil {
-		t.others[m.Name] = &entry{member: m, seen: now}
+		far := !t.Cells().Own(m.DataCentre, m.Name)
+		t.others[m.Name] = &entry{member: m, seen: seen, since: now, far: far}
 		return true
 	}
 	// The time of day may go back before a restart; a host that was silent and now
@@ -242,11 +284,14 @@
 		return false
 	}
 	changed := e.member.State != m.State || e.member.Incarnation != m.Incarnation
-	e.member, e.seen = m, now
+	if e.member.Incarnation != m.Incarnation {
+		e.since = now
+	}
+	e.member, e.seen = m, seen
 	return changed
 }
 
-// Tick drops hosts that have long been gone.
+// Tick drops hosts that have long been gone and divides the site anew.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -255,6 +300,11 @@
 			delete(t.others, name)
 		}
 	}
+	cells := divide(t.self, t.liveLocked(now))
+	for name, e := range t.others {
+		e.far = !cells.Own(e.member.DataCentre, name)
+	}
+	t.cells.Store(cells)
 }
 
 // Live returns the other hosts that were heard of lately, by name.
@@ -270,7 +320,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, e := range t.others {
-		if now.Sub(e.seen) <= Silence {
+		if e.live(now) {
 			n++
 		}
 	}
@@ -280,7 +330,7 @@
 func (t *Table) liveLocked(now time.Time) []Member {
 	var out []Member
 	for _, e := range t.others {
-		if now.Sub(e.seen) <= Silence {
+		if e.live(now) {
 			out = append(out, e.member)
 		}
 	}
@@ -293,13 +343,23 @@
 func (t *Table) Targets(now time.Time, limit int) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := t.rotate(t.liveLocked(now), limit)
+	return append(t.rotate(t.liveLocked(now), limit), t.silentLocked(now)...)
+}
+
+// Silent returns a host that was silent for a while, if there is one.
+func (t *Table) Silent(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silentLocked(now)
+}
+
+func (t *Table) silentLocked(now time.Time) []Member {
 	for _, e := range t.others {
-		if now.Sub(e.seen) > Silence {
-			return append(out, e.member)
+		if !e.live(now) {
+			return []Member{e.member}
 		}
 	}
-	return out
+	return nil
 }
 
 // rotate returns the next members in turn, so that each is reached after the same
@@ -328,12 +388,18 @@
 }
 
 // Rank returns this host's place, from 0, among the hosts that are not leaving.
-func (t *Table) Rank(now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	rank := 0
-	for _, m := range t.liveLocked(now) {
-		if m.State != Leaving && m.Name < t.self.Name {
+func (t *Table) Rank(now time.Time) int { return t.rank(t.Live(now)) }
+
+// CellRank returns this host's place, from 0, among those of its cell that are not leaving.
+func (t *Table) CellRank(now time.Time) int {
+	cells := t.Cells()
+	return t.rank(slices.DeleteFunc(t.Live(now), func(m Member) bool { return !cells.Own(m.DataCentre, m.Name) }))
+}
+
+func (t *Table) rank(live []Member) int {
+	self, rank := t.Self().Name, 0
+	for _, m := range live {
+		if m.State != Leaving && m.Name < self {
 			rank++
 		}
 	}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rattanscale/rattanscale/internal/balance"
 )
 
 const (
@@ -26,25 +30,39 @@
 	// fullEvery is the number of rounds of which one introduces hosts; the others
 	// carry only what changes.
 	fullEvery = 5
+	// cellRounds is the number of rounds of which one goes to the hosts of a cell.
+	cellRounds = 2
 	// maxDatagram is the largest datagram over UDP.
 	maxDatagram = 64 << 10
 )
 
+// Conn is a UDP socket.
+type Conn interface {
+	ReadFromUDP(b []byte) (int, *net.UDPAddr, error)
+	WriteToUDP(b []byte, to *net.UDPAddr) (int, error)
+	Close() error
+}
+
 // Transport sends and receives datagrams. Run must be called once.
 type Transport struct {
 	Table *Table
-	Conn  *net.UDPConn
+	Conn  Conn
 	// Seeds are addresses of hosts that are tried while few hosts are known.
 	Seeds []string
 	// Compose fills in what a datagram says besides the members.
 	Compose func(m *Message, full bool)
 	// Changed is signalled when loads have changed.
 	Changed <-chan struct{}
+	// Locate returns the data centre of an upstream.
+	Locate func(upstream string) (dataCentre string, known bool)
 	// Received is called after a message was merged.
 	Received func(m Message, now time.Time)
 	Log      logr.Logger
 
-	round atomic.Uint64
+	sent   atomic.Uint64
+	spread atomic.Bool
+	// rounds counts the regular rounds; only Run uses it.
+	rounds int64
 	// composing keeps the order of beats that of what is said.
 	composing sync.Mutex
 }
@@ -59,7 +77,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			t.Send()
+			t.round()
 		case <-t.Changed:
 			if gathered == nil {
 				gathered = time.After(gather)
@@ -73,12 +91,32 @@
 	}
 }
 
-// Send sends one round at once, for news that can not wait for the next.
+// round sends what is due at regular times.
+func (t *Transport) round() {
+	t.rounds++
+	cells := t.Table.Cells()
+	if !cells.Divided() || t.rounds%cellRounds == 0 {
+		t.Send()
+	}
+	if cells.Divided() && t.rounds%int64(farInterval/Interval) == 0 {
+		t.sendDigest(cells)
+	}
+	if t.spread.Swap(false) && cells.Divided() {
+		now := time.Now()
+		t.writeAll(t.encode(now, true, Message{Content: NoLoads}), t.Table.Live(now))
+	}
+}
+
+// Send sends one round to the hosts of the cell at once, for news that can not wait.
 func (t *Transport) Send() {
 	now := time.Now()
 	t.Table.Tick(now)
-	targets := t.Table.Targets(now, fanOut)
-	full := t.round.Add(1)%fullEvery == 1 || len(targets) < len(t.Seeds)
+	cells := t.Table.Cells()
+	targets := cells.Near()
+	if !cells.Divided() {
+		targets = t.Table.Targets(now, fanOut)
+	}
+	full := t.sent.Add(1)%fullEvery == 1 || len(targets) < len(t.Seeds)
 	all, brief := t.encode(now, full, Message{}), []byte(nil)
 	for _, m := range targets {
 		if t.Table.TellAll(m.Name, now) {
@@ -97,24 +135,84 @@
 	}
 }
 
+// Spread makes the next round reach all hosts, also those of other cells.
+func (t *Transport) Spread() { t.spread.Store(true) }
+
+// sendDigest tells some hosts of other cells who lives in this one, and all loads to the
+// cells on whose upstreams this host has work.
+func (t *Transport) sendDigest(cells *Cells) {
+	now := time.Now()
+	// The time of day is about the same at all hosts of a cell; where it is not, some
+	// hosts are told twice and others a round later.
+	round := now.Unix() / int64(farInterval/time.Second)
+	digest := t.Table.Digest(now, round%introduceEvery == 0)
+	data := t.encode(now, true, Message{Content: NoLoads, Others: digest})
+	t.writeAll(data, cells.Far(t.Table.Self().Name, t.Table.Live(now), round))
+	t.writeAll(data, t.Table.Silent(now))
+	if m := t.compose(now, false, Message{}); len(m.Loads) > 0 {
+		t.writeAll(t.marshal(&m), t.beyond(cells, m.Loads))
+	}
+}
+
 // sendChanges tells the hosts that choose among the same upstreams of changed loads.
 func (t *Transport) sendChanges() {
 	now := time.Now()
-	data := t.encode(now, false, Message{Content: ChangedLoads})
-	for _, m := range t.Table.Near(now) {
+	cells := t.Table.Cells()
+	m := t.compose(now, false, Message{Content: ChangedLoads})
+	targets := cells.Near()
+	if !cells.Divided() {
+		targets = t.Table.Live(now)
+	}
+	t.writeAll(t.marshal(&m), append(slices.Clone(targets), t.beyond(cells, m.Loads)...))
+}
+
+// beyond returns the hosts of other cells in which some of the upstreams are.
+func (t *Transport) beyond(cells *Cells, loads map[string]balance.Load) []Member {
+	if !cells.Divided() {
+		return nil
+	}
+	byName := make(map[string]Member)
+	for id := range loads {
+		dataCentre, known := t.Locate(id)
+		if !known || cells.Own(dataCentre, id) {
+			continue
+		}
+		for _, m := range cells.Around(dataCentre, id) {
+			byName[m.Name] = m
+		}
+	}
+	return slices.Collect(maps.Values(byName))
+}
+
+func (t *Transport) writeAll(data []byte, targets []Member) {
+	for _, m := range targets {
 		t.write(data, m.PeerAddress)
 	}
 }
 
-func (t *Transport) encode(now time.Time, full bool, m Message) []byte {
+// compose fills in a message. A full one introduces this host, and some others unless
+// it names others already.
+func (t *Transport) compose(now time.Time, full bool, m Message) Message {
 	t.composing.Lock()
-	m.Self, m.Others = t.Table.Beat(now, full)
+	defer t.composing.Unlock()
+	m.Self = t.Table.Beat(full)
+	if full && m.Others == nil {
+		m.Others = t.Table.Introduced(t.Table.Self(), now, othersPerMessage)
+	}
 	t.Compose(&m, full)
-	t.composing.Unlock()
+	return m
+}
+
+func (t *Transport) encode(now time.Time, full bool, m Message) []byte {
+	m = t.compose(now, full, m)
+	return t.marshal(&m)
+}
+
+func (t *Transport) marshal(m *Message) []byte {
 	var data bytes.Buffer
 	encoder := msgpack.NewEncoder(&data)
 	encoder.UseArrayEncodedStructs(true) // names of fields would be half of a datagram
-	if err := encoder.Encode(&m); err != nil {
+	if err := encoder.Encode(m); err != nil {
 		t.Log.Error(err, "gossip message could not be encoded")
 	}
 	return data.Bytes()
@@ -153,7 +251,11 @@
 			t.Received(m, now)
 		}
 		if isNew && !m.Reply {
-			t.write(t.encode(now, true, Message{Reply: true}), from.String())
+			reply := Message{Reply: true}
+			if m.Self.State == Starting {
+				reply.Others = t.Table.Introduced(m.Self, now, othersForStarting)
+			}
+			t.write(t.encode(now, true, reply), from.String())
 		}
 	}
 }
