Send large tables packed, and fetch them within the cell

Engines that come and go change about 300 rows a second there, and each host fetched them as JSON with base64 inside, from whichever host told it first. A whole table of 3,000 upstreams was 1 MB; over a link of 10 Mbit/s its fetch takes longer than the one second that it may. A configuration of 400 routes, a single row, was 100 KB for each of a cell's hosts, by the same calculation.

Deltas from 16 KiB on are now msgpack and deflate, and a host whose table is fresh waits for its own cell's reader.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -291,8 +291,12 @@
 		if !ok {
 			continue
 		}
-		if _, _, known := t.Status(); !known || theirs.Revision > t.Content() {
-			f.fetch(t, m.Self.Name)
+		if _, confirmed, known := t.Status(); !known || theirs.Revision > t.Content() {
+			// A cell has a reader of its own; its changes come a moment later and cost
+			// no transfer between data centres.
+			if !known || f.members.Near(m.Self.Name) || now.Sub(confirmed) > stepIn {
+				f.fetch(t, m.Self.Name)
+			}
 		} else if theirs.Age >= 0 {
 			t.Confirm(theirs.Revision, now.Add(-time.Duration(theirs.Age)*time.Millisecond))
 		}
@@ -306,22 +310,22 @@
 	Known bool `json:"known"`
 }
 
-func (f *FrontEnd) changes(ctx context.Context, q changesQuery) (follow.Delta, error) {
+func (f *FrontEnd) changes(ctx context.Context, q changesQuery) (follow.Packed, error) {
 	select {
 	case f.serving <- struct{}{}:
 		defer func() { <-f.serving }()
 	case <-ctx.Done():
-		return follow.Delta{}, ctx.Err()
+		return follow.Packed{}, ctx.Err()
 	}
 	for _, t := range f.tables() {
 		if t.Name() != q.Table {
 			continue
 		}
 		if d, ok := t.Since(q.Revision, time.Now()); ok {
-			return d, nil
+			return follow.Pack(d)
 		}
 	}
-	return follow.Delta{}, errors.New("the table is not known here")
+	return follow.Packed{}, errors.New("the table is not known here")
 }
 
 // fetch fetches changes of a table from a host, one fetch at a time for each table.
@@ -346,8 +350,13 @@
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 		revision, _, _ := t.Status()
+		var packed follow.Packed
+		err := f.client.Call(ctx, address, methodChanges, changesQuery{Table: t.Name(), Revision: revision}, &packed)
 		var d follow.Delta
-		if err := f.client.Call(ctx, address, methodChanges, changesQuery{Table: t.Name(), Revision: revision}, &d); err != nil {
+		if err == nil {
+			d, err = packed.Unpack()
+		}
+		if err != nil {
 			f.log.V(1).Info("changes could not be fetched", "peer", address, "table", t.Name(), "error", err.Error())
 			return
 		}
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -376,6 +376,14 @@
 	return out
 }
 
+// Near reports whether a host is known and in this host's cell.
+func (t *Table) Near(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.others[name]
+	return e != nil && !e.far
+}
+
 // PeerAddress returns where a host takes calls of other hosts.
 func (t *Table) PeerAddress(name string) (string, bool) {
 	t.mu.Lock()
