--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,7 +5,6 @@
 package catalog
 
 import (
-	"slices"
 	"strings"
 	"time"
 )
@@ -251,13 +250,10 @@
 	for _, u := range c.Upstreams {
 		c.byService[u.Service] = append(c.byService[u.Service], u)
 	}
-	for _, list := range c.byService {
-		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
-	}
 }
 
-// OfService returns the upstreams of a service in the order of their identifiers.
-// The list is shared and must not be changed.
+// OfService returns the upstreams of a service in any order. The list is shared and must
+// not be changed.
 func (c *Catalog) OfService(name string) []*Upstream { return c.byService[name] }
 
 // WithUpstreams returns a copy with other upstreams, which is not indexed.
