--- a/internal/gossip/cells.go
+++ b/internal/gossip/cells.go
@@ -79,6 +79,9 @@
 	return !c.Divided() || c.of(dataCentre, name) == c.self
 }
 
+// Parts returns the number of cells of this host's data centre; 0 while the site is one cell.
+func (c *Cells) Parts() uint64 { return c.parts[c.self.dataCentre] }
+
 // Near returns the other hosts of this host's cell.
 func (c *Cells) Near() []Member { return c.hosts[c.self] }
 
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -291,8 +291,9 @@
 	return changed
 }
 
-// Tick drops hosts that have long been gone and divides the site anew.
-func (t *Table) Tick(now time.Time) {
+// Tick drops hosts that have long been gone and divides the site anew. It reports
+// whether this host's data centre is divided otherwise than before.
+func (t *Table) Tick(now time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, e := range t.others {
@@ -304,7 +305,7 @@
 	for name, e := range t.others {
 		e.far = !cells.Own(e.member.DataCentre, name)
 	}
-	t.cells.Store(cells)
+	return t.cells.Swap(cells).Parts() != cells.Parts()
 }
 
 // Live returns the other hosts that were heard of lately, by name.
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -110,8 +110,11 @@
 // Send sends one round to the hosts of the cell at once, for news that can not wait.
 func (t *Transport) Send() {
 	now := time.Now()
-	t.Table.Tick(now)
+	changed := t.Table.Tick(now)
 	cells := t.Table.Cells()
+	if changed {
+		t.Log.Info("cells changed", "cells", cells.Parts(), "hosts", t.Table.CountLive(now)+1, "near", len(cells.Near()))
+	}
 	targets := cells.Near()
 	if !cells.Divided() {
 		targets = t.Table.Targets(now, fanOut)
