Announce news to all hosts of an undivided site at once

Cause: an announcement went to the 64 hosts that the regular round had in turn; at 90 hosts the others learnt of an engine that leaves, with 1.7 to 2 s of notice, one round of 0.2 s later. A test failed first (64 of 89).

--- a/internal/gossip/cells_test.go
+++ b/internal/gossip/cells_test.go
@@ -143,6 +143,7 @@
 // played is a running host of a played site.
 type played struct {
 	table  *Table
+	gossip *Transport
 	loads  *balance.Tracker
 	cancel context.CancelFunc
 }
@@ -186,6 +187,7 @@
 				}
 			},
 		}
+		p.gossip = transport
 		ctx, cancel := context.WithCancel(t.Context())
 		p.cancel = cancel
 		go transport.Run(ctx)
@@ -251,3 +253,21 @@
 		}
 	})
 }
+
+// Guards against news, such as an engine that leaves within two seconds, that reach
+// some hosts of a large undivided site only with the next round.
+func TestNewsReachAllHostsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 90
+		w := &wire{boxes: map[string]*box{}, random: rand.New(rand.NewPCG(1, 2))}
+		hosts := playSite(t, w, hostsOf(n, 4))
+		time.Sleep(10*time.Second + Interval/4) // between two rounds
+		_, before := w.sum()
+		hosts[7].gossip.Send()
+		_, after := w.sum()
+		require.Equal(t, n-1, after-before)
+		for _, p := range hosts {
+			p.cancel()
+		}
+	})
+}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -24,8 +24,7 @@
 	// gather is the time in which changes of loads go into one datagram. It is short
 	// beside the 0.3 s in which an engine reads a prompt.
 	gather = 15 * time.Millisecond
-	// fanOut bounds the hosts that are sent to in a round, so that the cost of a
-	// host does not grow with their number.
+	// fanOut bounds the hosts that are sent to in a regular round.
 	fanOut = 64
 	// fullEvery is the number of rounds of which one introduces hosts; the others
 	// carry only what changes.
@@ -96,7 +95,7 @@
 	t.rounds++
 	cells := t.Table.Cells()
 	if !cells.Divided() || t.rounds%cellRounds == 0 {
-		t.Send()
+		t.send(fanOut)
 	}
 	if cells.Divided() && t.rounds%int64(farInterval/Interval) == 0 {
 		t.sendDigest(cells)
@@ -107,8 +106,11 @@
 	}
 }
 
-// Send sends one round to the hosts of the cell at once, for news that can not wait.
-func (t *Transport) Send() {
+// Send tells all hosts of the cell at once of news that can not wait.
+func (t *Transport) Send() { t.send(wholeSite) }
+
+// send sends one round to up to limit hosts of the cell.
+func (t *Transport) send(limit int) {
 	now := time.Now()
 	changed := t.Table.Tick(now)
 	cells := t.Table.Cells()
@@ -117,7 +119,7 @@
 	}
 	targets := cells.Near()
 	if !cells.Divided() {
-		targets = t.Table.Targets(now, fanOut)
+		targets = t.Table.Targets(now, limit)
 	}
 	full := t.sent.Add(1)%fullEvery == 1 || len(targets) < len(t.Seeds)
 	all, brief := t.encode(now, full, Message{}), []byte(nil)
