Keep the latest sign of life of a host when others tell of an older one

Found on reading: news with an older age set the time of the last sign of life back, so a live host could count as gone for a moment. A test failed first.

--- a/internal/gossip/cells.go
+++ b/internal/gossip/cells.go
@@ -18,7 +18,8 @@
 	farSilence = 4 * time.Second
 	// farInterval is the time in which each host is told of each other cell once.
 	farInterval = time.Second
-	// introduceFor is how long a new host is introduced with its addresses to other cells.
+	// introduceFor is how long a new host is introduced with its addresses to other cells:
+	// in four digests, of which some may get lost.
 	introduceFor = 4 * time.Second
 	// introduceEvery is the number of digests of which one introduces all its hosts.
 	introduceEvery = 5
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -287,7 +287,10 @@
 	if e.member.Incarnation != m.Incarnation {
 		e.since = now
 	}
-	e.member, e.seen = m, seen
+	e.member = m
+	if seen.After(e.seen) {
+		e.seen = seen
+	}
 	return changed
 }
 
--- a/internal/gossip/table_test.go
+++ b/internal/gossip/table_test.go
@@ -116,3 +116,20 @@
 	require.True(t, table.TellAll("h001", now.Add(loadsInterval)))
 	require.True(t, table.TellAll("unknown", now))
 }
+
+// Guards against a live host that counts as gone because another host tells of it with
+// an older sign of life, and against a dead one that lives on in what others repeat.
+func TestRelayedNewsCountFromTheSignOfLife(t *testing.T) {
+	table, now := NewTable(member("a", 1, 0, Ready)), time.Unix(1000, 0)
+	relay := func(beat uint64, age time.Duration, at time.Time) {
+		m := member("b", 1, beat, Ready)
+		m.Age = age.Milliseconds()
+		table.Learn(Message{Self: member("c", 1, beat, Ready), Others: []Member{m}}, at)
+	}
+	table.Learn(Message{Self: member("b", 1, 5, Ready)}, now)
+	relay(6, Silence, now.Add(time.Second))
+	require.Contains(t, names(table.Live(now.Add(2*time.Second))), "b")
+	relay(7, Silence/2, now.Add(Silence))
+	require.Contains(t, names(table.Live(now.Add(Silence+Silence/2))), "b")
+	require.NotContains(t, names(table.Live(now.Add(2*Silence))), "b")
+}
