--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -99,20 +99,16 @@
 }
 
 // Start counts work that is sent to the upstream.
-func (t *Tracker) Start(id string, work Load) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.state(id)
-	s.own = s.own.plus(work)
-	t.noteChange(id, work)
-}
+func (t *Tracker) Start(id string, work Load) { t.add(id, work) }
 
 // End takes work back.
-func (t *Tracker) End(id string, work Load) {
+func (t *Tracker) End(id string, work Load) { t.add(id, Load{}.minus(work)) }
+
+func (t *Tracker) add(id string, work Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(id)
-	s.own = s.own.minus(work)
+	s.own = s.own.plus(work)
 	t.noteChange(id, work)
 }
 
