Let all cells share plain upstreams

Found on reading: a cell preferred the one plain upstream that fell to it, with the loads of its own hosts only, and every host told other cells each second of short requests. Plain upstreams are few and their requests short; they are chosen as on an undivided site. A test failed first; loads that end are now in the test of cells too.

--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -45,6 +45,19 @@
 	require.Equal(t, 400-room, others, "all room of the cell is used before engines of others are")
 }
 
+// Guards against a few plain upstreams of which each cell would load one: the load of
+// other cells on it is not known.
+func TestPlainUpstreamsAreSharedByAllCells(t *testing.T) {
+	g, service := crowd(16, func(int, *catalog.Upstream) {})
+	divided(g)
+	service.Engine, service.ColdRate = nil, 0
+	chosen := map[string]bool{}
+	for i := range 200 {
+		chosen[g.choose(g.Catalog(), service, fmt.Sprint(i), 0, nil, time.Now()).ID] = true
+	}
+	require.Len(t, chosen, 16)
+}
+
 // Guards against refusals while no engine of the cell may be used.
 func TestOtherEnginesServeWhereTheCellHasNone(t *testing.T) {
 	g, service := crowd(200, func(_ int, u *catalog.Upstream) { u.Draining = retry.Hash(u.ID)%8 == 3 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -363,7 +363,8 @@
 	}
 	hosts, all := g.Hosts(), cat.OfService(service.Name)
 	sound := func(u *catalog.Upstream) bool { return !u.Lapsed && usable(u) && !g.Loads.Avoids(u.ID, now) }
-	if own, divided := g.Cell(); divided && !g.Plain {
+	// Plain upstreams are few and their requests short: all hosts share them.
+	if own, divided := g.Cell(); divided && service.Engine != nil && !g.Plain {
 		near := g.draw(all, balance.Enough(hosts), func(u *catalog.Upstream) bool { return own(u.DataCentre, u.ID) && sound(u) })
 		if u := g.chooseAmong(near, service, tokens, hosts, now); u != nil && g.hasRoom(u, service, tokens, now) {
 			return u
--- a/internal/gossip/cells_test.go
+++ b/internal/gossip/cells_test.go
@@ -236,14 +236,21 @@
 		work := balance.Load{Requests: 1, Tokens: 4000}
 		from.loads.Start(own, work)
 		from.loads.Start(other, work)
-		time.Sleep(1500 * time.Millisecond)
-		for _, id := range []string{own, other} {
-			for i, p := range hosts[1:] {
-				if p.table.Cells().Own("dc-0", id) {
-					require.Equal(t, work, p.loads.View([]string{id}, time.Now())[0].Load, "host %d, upstream %s", i+1, id)
+		told := func(want balance.Load) {
+			for _, id := range []string{own, other} {
+				for i, p := range hosts[1:] {
+					if p.table.Cells().Own("dc-0", id) {
+						require.Equal(t, want, p.loads.View([]string{id}, time.Now())[0].Load, "host %d, upstream %s", i+1, id)
+					}
 				}
 			}
 		}
+		time.Sleep(2500 * time.Millisecond) // two whole reports; one may get lost
+		told(work)
+		from.loads.End(own, work)
+		from.loads.End(other, work)
+		time.Sleep(3500 * time.Millisecond)
+		told(balance.Load{})
 
 		hosts[killed].cancel()
 		time.Sleep(6 * time.Second)
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/samber/lo"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
@@ -154,8 +155,11 @@
 	data := t.encode(now, true, Message{Content: NoLoads, Others: digest})
 	t.writeAll(data, cells.Far(t.Table.Self().Name, t.Table.Live(now), round))
 	t.writeAll(data, t.Table.Silent(now))
-	if m := t.compose(now, false, Message{}); len(m.Loads) > 0 {
-		t.writeAll(t.marshal(&m), t.beyond(cells, m.Loads))
+	m := t.compose(now, false, Message{})
+	// Plain upstreams, whose loads state no tokens, are shared without their loads.
+	engines := lo.PickBy(m.Loads, func(_ string, l balance.Load) bool { return l.Tokens > 0 })
+	if len(engines) > 0 {
+		t.writeAll(t.marshal(&m), t.beyond(cells, engines))
 	}
 }
 
