Append what is new in datagrams behind their first form

Found on reading: datagrams are encoded by the place of fields, and their decoder refuses another number of them. Hosts of two versions would not hear each other during an upgrade, and each part would take the limits that all share for itself. A test failed first.

--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -34,14 +34,15 @@
 	Incarnation int64
 	Beat        uint64
 	State       State
-	// Age is the time since the host's last sign of life that the sender knows of, in
-	// milliseconds; 0 for the sender itself.
-	Age int64
-	// The rest is left out of most datagrams; it is the same for an incarnation.
+	// DataCentre and the addresses are left out of most datagrams; they are the same for
+	// an incarnation.
 	DataCentre string
 	// CallerAddress is where callers connect, PeerAddress where other hosts do.
 	CallerAddress string
 	PeerAddress   string
+	// Age is the time since the host's last sign of life that the sender knows of, in
+	// milliseconds; 0 for the sender itself.
+	Age int64 `msgpack:"-"`
 }
 
 // brief returns the member without what is the same for an incarnation.
@@ -65,7 +66,7 @@
 	Age int64
 }
 
-// Message is one datagram.
+// Message is one datagram. What is not in its first form is in the extension.
 type Message struct {
 	Self   Member
 	Others []Member
@@ -73,14 +74,14 @@
 	Loads  map[string]balance.Load
 	// Losses counts the broken runs of suspected requests at the sender.
 	Losses map[uint64]int
-	// Notices names the engines that told the sender that they leave.
-	Notices []catalog.Notice
 	// Evidence is the sender's evidence on rollouts by service, in full rounds.
 	Evidence map[string][]byte
 	// Reply is set in answers, which are not answered again.
 	Reply bool
 	// Content tells what Loads holds and whether the tables are stated.
 	Content Content
+	// Notices names the engines that told the sender that they leave.
+	Notices []catalog.Notice `msgpack:"-"`
 }
 
 // Content is how much a datagram says.
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -13,7 +12,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/samber/lo"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 )
@@ -218,13 +216,11 @@
 }
 
 func (t *Transport) marshal(m *Message) []byte {
-	var data bytes.Buffer
-	encoder := msgpack.NewEncoder(&data)
-	encoder.UseArrayEncodedStructs(true) // names of fields would be half of a datagram
-	if err := encoder.Encode(m); err != nil {
+	data, err := m.encode()
+	if err != nil {
 		t.Log.Error(err, "gossip message could not be encoded")
 	}
-	return data.Bytes()
+	return data
 }
 
 func (t *Transport) write(data []byte, address string) {
@@ -249,8 +245,8 @@
 		if err != nil { // an earlier datagram was refused
 			continue
 		}
-		var m Message
-		if err := msgpack.Unmarshal(buffer[:n], &m); err != nil {
+		m, err := decodeMessage(buffer[:n])
+		if err != nil {
 			t.Log.Info("gossip message could not be read", "from", from.String(), "error", err.Error())
 			continue
 		}
--- /dev/null
+++ b/internal/gossip/version_test.go
@@ -0,0 +1,68 @@
+package gossip
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rattanscale/rattanscale/internal/balance"
+	"github.com/rattanscale/rattanscale/internal/catalog"
+)
+
+// firstMember and firstMessage are the first form of what hosts send.
+type firstMember struct {
+	Name          string
+	Incarnation   int64
+	Beat          uint64
+	State         State
+	DataCentre    string
+	CallerAddress string
+	PeerAddress   string
+}
+
+type firstMessage struct {
+	Self     firstMember
+	Others   []firstMember
+	Tables   map[string]TableState
+	Loads    map[string]balance.Load
+	Losses   map[uint64]int
+	Evidence map[string][]byte
+	Reply    bool
+	Content  Content
+}
+
+func arrayEncoded(t *testing.T, v any) []byte {
+	var data bytes.Buffer
+	encoder := msgpack.NewEncoder(&data)
+	encoder.UseArrayEncodedStructs(true)
+	require.NoError(t, encoder.Encode(v))
+	return data.Bytes()
+}
+
+// Guards against hosts of two versions that do not hear each other during an upgrade:
+// each part would take the limits that all share for itself.
+func TestHostsOfTwoVersionsHearEachOther(t *testing.T) {
+	old := firstMember{"b", 7, 9, Ready, "praha-1", "10.0.0.2:80", "10.0.0.2:81"}
+	now := Member{"b", 7, 9, Ready, "praha-1", "10.0.0.2:80", "10.0.0.2:81", 1200}
+	tables := map[string]TableState{"servers": {Revision: 4, Age: 20}}
+
+	heard, err := decodeMessage(arrayEncoded(t, &firstMessage{Self: old, Others: []firstMember{old}, Tables: tables, Content: NoLoads}))
+	require.NoError(t, err)
+	fresh := now
+	fresh.Age = 0
+	require.Equal(t, Message{Self: fresh, Others: []Member{fresh}, Tables: tables, Content: NoLoads}, heard)
+
+	sent := Message{Self: fresh, Others: []Member{now}, Tables: tables, Content: NoLoads, Notices: []catalog.Notice{{Upstream: "i-1", Born: 3}}}
+	data, err := sent.encode()
+	require.NoError(t, err)
+	var understood firstMessage
+	require.NoError(t, msgpack.Unmarshal(data, &understood))
+	require.Equal(t, firstMessage{Self: old, Others: []firstMember{old}, Tables: tables, Content: NoLoads}, understood)
+	again, err := decodeMessage(data)
+	require.NoError(t, err)
+	require.Equal(t, sent, again)
+	_, err = decodeMessage(data[:len(data)-1])
+	require.Error(t, err, "cut off in the extension")
+}
