Do not let SIGHUP end a process that starts or drains

A host got SIGTERM at 14.324 s and SIGHUP some milliseconds later; all its requests were cut 35 ms after the first. The front end stopped listening to SIGHUP when its drain began, which brought back the default action: the process ended. The daemon without the front end never listened to it.

Ruled out: the end of the drain (8 s later) and the configurations in quick succession (the last one came into force at the moment of the end and cuts nothing elsewhere).

The program now keeps SIGHUP from its start to its end; whoever reloads settings listens besides. A test failed first ("signal: hangup").

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -74,6 +75,11 @@
 	defer lines.Close()
 	handler := slog.NewTextHandler(lines, &slog.HandlerOptions{Level: slog.Level(-*verbosity)})
 	log := logr.FromSlogHandler(handler).WithValues("host", p.Host(s))
+	// By default SIGHUP ends a process. Who reloads settings listens to it as well, but not
+	// before the start has come that far and no longer while the process drains.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	// Further signals change nothing: they must not cut off the stop that the first began.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -4,7 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -50,3 +55,28 @@
 		require.Equal(t, c.stderr == "", stderr.Len() == 0, "%v: %s", c.args, &stderr)
 	}
 }
+
+// Guards against a SIGHUP that ends a process while it starts or drains, when nobody
+// reloads settings yet or any more, and cuts what it serves.
+func TestSIGHUPEndsNoProcess(t *testing.T) {
+	hang := func() {
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(100 * time.Millisecond)
+	}
+	p := Program[int]{
+		Name: "test",
+		Load: func(string) (int, error) { return 0, nil },
+		Host: func(int) string { return "h" },
+		Run: func(context.Context, int, Environment) error {
+			hang()
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			hang()
+			require.Len(t, reload, 1)
+			signal.Stop(reload)
+			hang()
+			return nil
+		},
+	}
+	require.Zero(t, p.Main([]string{"-config", "any"}, io.Discard, io.Discard))
+}
