Let notices lapse whose incarnation is not known

An engine that starts again under its identifier while the store is out would have got no work any more. A test failed first.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 		Options: o, retries: retry.NewWindows(), suspects: NewSuspects(), streams: newStreams(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	g.notices.known = make(map[catalog.Notice]bool)
+	g.notices.known = make(map[catalog.Notice]heardNotice)
 	g.published.Store(&catalog.Catalog{})
 	g.catalog.Store(&catalog.Catalog{})
 	return g
@@ -110,7 +110,7 @@
 // republish puts the published catalog in force, with the notices of engines.
 func (g *Gateway) republish() {
 	g.publishMu.Lock()
-	c := g.notices.overlay(g.published.Load())
+	c := g.notices.overlay(g.published.Load(), time.Now())
 	c.IndexUpstreams()
 	g.catalog.Store(c)
 	g.publishMu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,21 +18,33 @@
 	watchInterval = 300 * time.Millisecond
 	// watchTimeout bounds a question.
 	watchTimeout = 250 * time.Millisecond
+	// noticeTime is how long a notice holds whose incarnation is not known. An engine that
+	// starts again under its identifier is up some seconds after its end.
+	noticeTime = 15 * time.Second
 )
 
 // notices holds what engines said themselves while the store was not heard of.
 type notices struct {
-	mu sync.Mutex
-	// known tells of each notice whether the engine gave it to this host itself.
-	known map[catalog.Notice]bool
+	mu    sync.Mutex
+	known map[catalog.Notice]heardNotice
+}
+
+type heardNotice struct {
+	// own is set if the engine gave the notice to this host itself.
+	own bool
+	at  time.Time
 }
 
 // note records a notice; it returns false if it is known already.
-func (n *notices) note(notice catalog.Notice, own bool) bool {
+func (n *notices) note(notice catalog.Notice, own bool, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, known := n.known[notice]
-	n.known[notice] = n.known[notice] || own
+	heard, known := n.known[notice]
+	if !known {
+		heard.at = now
+	}
+	heard.own = heard.own || own
+	n.known[notice] = heard
 	return !known
 }
 
@@ -41,8 +53,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []catalog.Notice
-	for notice, own := range n.known {
-		if own {
+	for notice, heard := range n.known {
+		if heard.own {
 			out = append(out, notice)
 		}
 	}
@@ -51,14 +63,14 @@
 
 // overlay returns the catalog with the engines that gave notice marked as draining.
 // Notices of incarnations that the catalog no longer holds are dropped.
-func (n *notices) overlay(c *catalog.Catalog) *catalog.Catalog {
+func (n *notices) overlay(c *catalog.Catalog, now time.Time) *catalog.Catalog {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := c
-	for notice := range n.known {
+	for notice, heard := range n.known {
 		u := c.Upstreams[notice.Upstream]
 		switch {
-		case u == nil || u.Born != notice.Born:
+		case u == nil || u.Born != notice.Born, notice.Born == 0 && now.Sub(heard.at) > noticeTime:
 			delete(n.known, notice)
 		case !u.Draining:
 			if out == c {
@@ -81,7 +93,7 @@
 	news := false
 	for _, notice := range told {
 		u := g.published.Load().Upstreams[notice.Upstream]
-		if u == nil || u.Born != notice.Born || !g.notices.note(notice, false) {
+		if u == nil || u.Born != notice.Born || !g.notices.note(notice, false, time.Now()) {
 			continue
 		}
 		news = true
@@ -121,7 +133,7 @@
 		g.Log.V(1).Info("engine did not answer whether it leaves", "upstream", u.ID, "error", err.Error())
 		return
 	}
-	if !leaving || !g.notices.note(catalog.Notice{Upstream: u.ID, Born: u.Born}, true) {
+	if !leaving || !g.notices.note(catalog.Notice{Upstream: u.ID, Born: u.Born}, true, time.Now()) {
 		return
 	}
 	g.Log.Info("engine says that it leaves", "upstream", u.ID)
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -28,7 +29,7 @@
 	for _, g := range []*Gateway{told, other} {
 		g.Publish(published(engineOf("a", 1), engineOf("b", 1)))
 	}
-	require.True(t, told.notices.note(catalog.Notice{Upstream: "a", Born: 1}, true))
+	require.True(t, told.notices.note(catalog.Notice{Upstream: "a", Born: 1}, true, time.Now()))
 	other.MergeNotices(told.Notices())
 	require.True(t, other.Catalog().Upstreams["a"].Draining)
 	require.False(t, other.Catalog().Upstreams["b"].Draining)
@@ -49,3 +50,15 @@
 	require.False(t, g.Catalog().Upstreams["a"].Draining, "a late datagram about the former incarnation")
 	require.Empty(t, g.notices.known)
 }
+
+// Guards against an engine that gets no work ever again, since entries that state no
+// incarnation do not tell that it has started anew.
+func TestNoticesOfUnknownIncarnationsLapse(t *testing.T) {
+	g, now := New(Options{Log: logr.Discard()}), time.Now()
+	c := published(engineOf("a", 0))
+	g.Publish(c)
+	require.True(t, g.notices.note(catalog.Notice{Upstream: "a"}, true, now))
+	require.True(t, g.notices.overlay(c, now.Add(noticeTime)).Upstreams["a"].Draining)
+	require.False(t, g.notices.overlay(c, now.Add(noticeTime+time.Second)).Upstreams["a"].Draining)
+	require.Empty(t, g.Notices())
+}
