Count a run that broke after its engine's restart was reported

Cause: a run that had been granted but not started was left out of the loss when the report of the engine's next incarnation came before its holder's message. The message then found the new incarnation, and the suspicion was withdrawn by the next report. Change: such a run is added to the recorded loss. A mass loss clears only suspicions that arose in it. Peer connections are registered before their messages are read, and TestCallsToLostDaemon waits for its own call instead of any active call, with the same checks.

--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -79,10 +79,11 @@
 // addConnection registers an authenticated connection and starts reading its messages.
 func (e *endpoint) addConnection(conn net.Conn, remoteAddress, diallerAddress string) *connection {
 	connection := &connection{stream: newStream(conn, e.options, remoteAddress), diallerAddress: diallerAddress, remoteAddress: remoteAddress, establishedAt: time.Now()}
-	connection.rpc = jsonrpc2.NewConn(context.Background(), connection.stream, requestHandler{e, connection}, jsonrpc2.SetLogger(rpcLogger{e.options.Logger}))
+	// Handlers start under the same lock, so that they find the connection that they serve.
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	connection.rpc = jsonrpc2.NewConn(context.Background(), connection.stream, requestHandler{e, connection}, jsonrpc2.SetLogger(rpcLogger{e.options.Logger}))
 	e.conns[remoteAddress] = append(e.conns[remoteAddress], connection)
-	e.mu.Unlock()
 	return connection
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -138,14 +138,22 @@
 // Guards against a call that may have run being reported as not sent, and against a
 // call that hangs when the other daemon stops.
 func TestCallsToLostDaemon(t *testing.T) {
-	a, b := startNode(t, Options{}), startNode(t, Options{})
+	waiting := make(chan struct{})
+	a, b := startNode(t, Options{}), startNode(t, Options{}, func(s *Server) {
+		Register(s, "wait", func(ctx context.Context, _ echo) (echo, error) {
+			close(waiting)
+			<-ctx.Done()
+			return echo{}, ctx.Err()
+		})
+	})
 	result := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	require.NoError(t, a.echo(b, "connected"))
 	go func() { result <- a.client.Call(ctx, b.address, "wait", echo{}, nil) }()
-	conn, _ := b.server.endpoint.connectionTo(a.address)
-	require.Eventually(t, func() bool { return conn.activeCalls.Load() == 1 }, time.Minute, time.Millisecond)
+	<-waiting
+	conn, found := b.server.endpoint.connectionTo(a.address)
+	require.True(t, found)
 	require.NoError(t, conn.rpc.Close())
 	assert.ErrorIs(t, <-result, ErrNoResponse)
 	require.Eventually(t, func() bool { return a.echo(b, "again") == nil }, time.Minute, time.Millisecond, "reconnects")
@@ -157,6 +165,22 @@
 	assert.ErrorIs(t, a.echo(b, "x"), ErrClosed)
 }
 
+// Guards against a handler that does not find the connection over which its caller
+// reached it, and dials a second one.
+func TestConnectionIsRegisteredBeforeItsMessagesAreRead(t *testing.T) {
+	e := newEndpoint(Options{Key: "key"}.withDefaults())
+	local, remote := net.Pipe()
+	added := make(chan *connection, 1)
+	e.mu.Lock()
+	go func() { added <- e.addConnection(local, "10.0.0.9:80", "10.0.0.9:80") }()
+	require.NoError(t, remote.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := remote.Write([]byte{0})
+	e.mu.Unlock()
+	assert.Error(t, err, "a byte was read before the connection was registered")
+	require.NoError(t, (<-added).rpc.Close())
+	require.NoError(t, remote.Close())
+}
+
 // Guards against a blocked direction that still transmits messages, and against
 // blocking the opposite direction as well.
 func TestFaultHookBlocksOneDirection(t *testing.T) {
--- a/internal/pool/decide_test.go
+++ b/internal/pool/decide_test.go
@@ -397,3 +397,59 @@
 	s.Report(now, Report{Upstream: "e000", Incarnation: "i1"})
 	require.False(t, s.quarantine.ShouldIsolate(now, request(1).Fingerprint))
 }
+
+// Guards against a loss that is counted for nobody: the report of the engine's next
+// incarnation arrives before the holder tells that its run, which had not started, broke.
+// The request would then run beside others and crash further engines.
+func TestRestartReportedBeforeTheBrokenRun(t *testing.T) {
+	s := New(Config{Pool: testPool(entity.KindEngine, 3, engineLimits)})
+	now := t0
+	incarnations := map[string]int{}
+	report := func() {
+		for _, u := range s.upstreams {
+			s.Report(now, Report{Upstream: u.name, Incarnation: fmt.Sprint(incarnations[u.name])})
+		}
+	}
+	report()
+	crash := func(id string) {
+		r := request(1)
+		r.ID = id
+		granted, _ := acquire(s, now, r)
+		require.Len(t, granted, 1, id)
+		incarnations[granted[0].Upstream]++
+		now = now.Add(100 * time.Millisecond)
+		report()
+		now = now.Add(10 * time.Millisecond)
+		s.Release(now, granted[0].ID, UpstreamLost, 0)
+		s.Decide(now)
+		s.ConfirmCancelled(now, granted[0].ID)
+		now = now.Add(time.Second)
+		report()
+		require.True(t, s.quarantine.ShouldIsolate(now, r.Fingerprint), "the loss is not counted")
+	}
+	crash("first")
+	crash("second")
+	third := request(1)
+	third.ID = "third"
+	_, refused := acquire(s, now, third)
+	require.Equal(t, ReasonQuarantined, refused["third"])
+}
+
+// Guards against an innocent request that is suspected because an engine restarted
+// between two of its runs.
+func TestRunOnTheNextIncarnationIsNotSuspected(t *testing.T) {
+	s := New(Config{Pool: testPool(entity.KindEngine, 1, engineLimits)})
+	s.Report(t0, Report{Upstream: "e000", Incarnation: "1"})
+	now := t0.Add(time.Second)
+	s.Report(now, Report{Upstream: "e000", Incarnation: "2"})
+	granted, _ := acquire(s, now, request(1))
+	require.Len(t, granted, 1)
+	require.Equal(t, "2", granted[0].Incarnation)
+	now = now.Add(10 * time.Millisecond)
+	s.Release(now, granted[0].ID, UpstreamLost, 0)
+	s.Decide(now)
+	s.ConfirmCancelled(now, granted[0].ID)
+	now = now.Add(time.Second)
+	s.Report(now, Report{Upstream: "e000", Incarnation: "2"})
+	require.False(t, s.quarantine.ShouldIsolate(now, request(1).Fingerprint))
+}
--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -12,8 +12,6 @@
 type brokenRun struct {
 	fingerprint uint64
 	alone       bool
-	// incarnation is that of the upstream when the run was granted.
-	incarnation string
 	brokenAt    time.Time
 }
 
@@ -25,7 +23,15 @@
 	if !s.sendsReports() {
 		return // a plain service does not report its incarnation
 	}
-	p.upstream.brokenRuns = append(p.upstream.brokenRuns, brokenRun{fingerprint, p.Alone, p.Incarnation, now})
+	if u := p.upstream; p.Incarnation != "" && u.incarnation != "" && p.Incarnation != u.incarnation {
+		// The report of the next incarnation arrived first, and the run was not counted with
+		// that loss because it could already have been on the next incarnation.
+		if !u.lossExpected {
+			s.notices = append(s.notices, s.quarantine.RecordLateLoss(now, fingerprint, u.name, p.Alone)...)
+		}
+		return
+	}
+	p.upstream.brokenRuns = append(p.upstream.brokenRuns, brokenRun{fingerprint, p.Alone, now})
 	s.notices = append(s.notices, s.quarantine.SuspectBrokenRun(now, fingerprint))
 }
 
--- a/internal/pool/permits.go
+++ b/internal/pool/permits.go
@@ -277,7 +277,8 @@
 			}
 		}
 	}
-	s.notices = append(s.notices, s.quarantine.RecordLoss(now, u.name, u.leaving || u.report.Leaving)...)
+	u.lossExpected = u.leaving || u.report.Leaving
+	s.notices = append(s.notices, s.quarantine.RecordLoss(now, u.name, u.lossExpected)...)
 	for _, p := range kept {
 		if p.broken {
 			continue // already counted with the loss
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -104,9 +104,11 @@
 	assumedUntil time.Time
 	endedPermits []endedPermit
 	// down is set from a loss until a report shows that the upstream answers again.
-	down        bool
-	lostAt      time.Time
-	pausedUntil time.Time
+	down   bool
+	lostAt time.Time
+	// lossExpected is set if the upstream was leaving at its latest loss or restart.
+	lossExpected bool
+	pausedUntil  time.Time
 	// reserveFree is set once a report has shown that the reserve of a new deputy is
 	// free.
 	reserveFree bool
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -40,6 +40,7 @@
 
 type entry struct {
 	losses       int
+	lastLossAt   time.Time
 	suspectUntil time.Time
 	refusedUntil time.Time
 }
@@ -142,13 +143,39 @@
 			}
 		}
 	}
+	return sortNotices(notices)
+}
+
+func sortNotices(notices []Notice) []Notice {
 	slices.SortStableFunc(notices, func(a, b Notice) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return notices
 }
 
+// RecordLateLoss adds a run to the loss of an upstream, of which the caller learned before
+// it knew that the run had been lost with it.
+func (t *Table) RecordLateLoss(now time.Time, fingerprint uint64, upstream string, alone bool) []Notice {
+	t.removeExpired(now)
+	i := slices.IndexFunc(t.recentLosses, func(l loss) bool { return l.upstream == upstream })
+	if i < 0 {
+		t.recentLosses = append(t.recentLosses, loss{lostAt: now, upstream: upstream})
+		i = len(t.recentLosses) - 1
+	}
+	l := &t.recentLosses[i]
+	if l.includes(fingerprint) {
+		return nil
+	}
+	run := activeRun{fingerprint, alone}
+	l.runs = append(l.runs, run)
+	if t.countRecentlyLost() >= massLossThreshold {
+		return sortNotices(t.handleMassLoss(now))
+	}
+	return []Notice{t.addLoss(now, run, len(l.runs) == 1)}
+}
+
 func (t *Table) addLoss(now time.Time, r activeRun, onlyRun bool) Notice {
 	e := t.entryFor(now, r.fingerprint)
 	e.losses++
+	e.lastLossAt = now
 	e.suspectUntil = now.Add(suspicionDuration)
 	if e.losses >= 2 && r.alone && onlyRun && !t.hasUnrelatedLoss(r.fingerprint) {
 		e.refuse(now)
@@ -196,7 +223,8 @@
 }
 
 // handleMassLoss suspects only fingerprints that ran on several of the upstreams lost
-// together. It clears those that the first of these losses made suspects.
+// together. It clears those that the first of these losses made suspects, but not those
+// that an earlier loss did.
 func (t *Table) handleMassLoss(now time.Time) []Notice {
 	counts := map[uint64]int{}
 	for _, l := range t.recentLosses {
@@ -210,10 +238,10 @@
 		switch {
 		case n > 1:
 			e = t.entryFor(now, fingerprint)
-			e.losses = max(e.losses, 1)
+			e.losses, e.lastLossAt = max(e.losses, 1), now
 			e.suspectUntil = now.Add(suspicionDuration)
 			out = append(out, Notice{Fingerprint: fingerprint, Losses: e.losses, Refused: now.Before(e.refusedUntil)})
-		case e != nil && e.losses <= 1:
+		case e != nil && e.losses <= 1 && now.Sub(e.lastLossAt) <= coincidenceWindow:
 			delete(t.entries, fingerprint)
 			out = append(out, Notice{Fingerprint: fingerprint, Cleared: true})
 		}
@@ -228,7 +256,9 @@
 		return
 	}
 	e := t.entryFor(now, n.Fingerprint)
-	e.losses = max(e.losses, n.Losses)
+	if n.Losses > e.losses {
+		e.losses, e.lastLossAt = n.Losses, now
+	}
 	e.suspectUntil = later(e.suspectUntil, now.Add(suspicionDuration))
 	if n.Broken {
 		return
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -90,6 +90,35 @@
 	require.True(t, q.ShouldIsolate(t0, crashingFingerprint))
 }
 
+// Guards against a mass loss that clears a request which an earlier loss made suspect.
+func TestMassLossKeepsEarlierSuspicion(t *testing.T) {
+	q := New()
+	q.RecordDispatch(crashingFingerprint, "e0", false)
+	q.RecordLoss(t0, "e0", false)
+	now := t0.Add(time.Minute)
+	for i, upstream := range []string{"e1", "e2", "e3"} {
+		q.RecordDispatch(uint64(100+i), upstream, false)
+	}
+	q.RecordDispatch(crashingFingerprint, "e3", true)
+	for _, upstream := range []string{"e1", "e2", "e3"} {
+		q.RecordLoss(now, upstream, false)
+	}
+	require.True(t, q.ShouldIsolate(now, crashingFingerprint))
+	require.Equal(t, 1, q.Len())
+}
+
+// A run that is known to be lost only after its upstream's loss was recorded belongs to
+// that loss: it counts once, and the loss is not unrelated to it.
+func TestLateLossBelongsToTheRecordedLoss(t *testing.T) {
+	q := New()
+	require.Empty(t, q.RecordLoss(t0, "e1", false))
+	now := t0.Add(500 * time.Millisecond)
+	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 1}}, q.RecordLateLoss(now, crashingFingerprint, "e1", false))
+	require.Empty(t, q.RecordLateLoss(now, crashingFingerprint, "e1", false))
+	q.RecordDispatch(crashingFingerprint, "e2", true)
+	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Refused: true}}, q.RecordLoss(now, "e2", false))
+}
+
 // Neither a planned stop nor runs that ended before a loss may raise suspicion.
 func TestExpectedLossAndEndedRuns(t *testing.T) {
 	q := New()
