Bound response heads and skipped responses of upstreams

It also took a response without an identifier for that of the current request on a connection in use again.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -130,11 +130,11 @@
 	c.sends++
 	c.logEntry.upstream = u.ID
 	response, err := c.g.Pool.Do(c.ctx, u.Address, &hop.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.info.ID,
 		Header: c.g.Protocol.Forward(c.r.Header, d), MaxIdle: maxIdleConnections(c.service.MaxConnections, c.g.HostCount()),
-		AcceptResponse: func(h http.Header) bool {
+		AcceptResponse: func(h http.Header, first bool) bool {
 			id := c.g.Protocol.Response(0, h).ID
-			return id == "" || id == c.info.ID
+			return id == c.info.ID || id == "" && first
 		},
 	})
 	if err != nil {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,8 +33,10 @@
 	// maxInlineWriteBytes is the size up to which a request fits into the socket buffer of a new
 	// connection, so that writing it does not block.
 	maxInlineWriteBytes = 8 << 10
-	// maxSkippedResponses bounds the responses to earlier requests that are skipped per exchange.
+	// maxSkippedResponses bounds the informational responses and the responses to earlier
+	// requests that are skipped per exchange, and maxSkippedBytes the body of each.
 	maxSkippedResponses = 2
+	maxSkippedBytes     = 256 << 10
 	// defaultMaxIdle bounds the idle connections to one upstream if the request sets no bound.
 	defaultMaxIdle = 16
 )
@@ -59,7 +62,11 @@
 
 func (e *Error) Unwrap() error { return e.Cause }
 
-var errUnexpectedResponse = errors.New("upstream sent a response that does not belong to this request; the attempt counts as failed")
+var (
+	errUnexpectedResponse = errors.New("upstream sent a response that does not belong to this request; the attempt counts as failed")
+	errSkippedTooLong     = fmt.Errorf("upstream sent a response to an earlier request with more than %d bytes; the attempt counts as failed", maxSkippedBytes)
+	errPoolClosed         = errors.New("the connection pool is closed; the request was not sent")
+)
 
 // Request is a request to an upstream.
 type Request struct {
@@ -69,8 +76,14 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// AcceptResponse reports whether a response belongs to this request; nil accepts all.
-	AcceptResponse func(http.Header) bool
+	// ID identifies the request; it may be empty. The request is not sent on a connection
+	// whose previous request had the same identifier, because a late copy of that response
+	// could not be told apart.
+	ID string
+	// AcceptResponse reports whether a response belongs to this request; nil accepts all. On
+	// a first connection no other request was sent before, so that no late response can
+	// arrive.
+	AcceptResponse func(h http.Header, first bool) bool
 	// MaxIdle bounds the idle connections to the upstream that are kept after the exchange; 0
 	// uses the default.
 	MaxIdle int
@@ -81,6 +94,7 @@
 type Pool struct {
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	closed bool
 	dialer net.Dialer
 	onOpen func()
 }
@@ -95,16 +109,20 @@
 type conn struct {
 	net.Conn
 	address      string
+	head         *headLimiter
 	reader       *bufio.Reader
 	lastUsed     time.Time
 	reuseTimeout time.Duration
 	served       int
+	lastID       string // of the latest request
 }
 
-// Close closes the idle connections. It does not affect connections in use.
+// Close closes the idle connections, and those in use once their exchange ends. Later
+// requests are not sent.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for address, conns := range p.idle {
 		for _, c := range conns {
 			_ = c.Conn.Close()
@@ -148,19 +166,25 @@
 	}
 }
 
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
+// takeIdle returns an idle connection for a request, or nil if there is none.
+func (p *Pool) takeIdle(address, requestID string, now time.Time) (*conn, error) {
 	for {
 		p.mu.Lock()
+		if p.closed {
+			p.mu.Unlock()
+			return nil, errPoolClosed
+		}
 		conns := p.idle[address]
 		if len(conns) == 0 {
 			p.mu.Unlock()
-			return nil
+			return nil, nil
 		}
 		c := conns[len(conns)-1]
 		p.idle[address] = conns[:len(conns)-1]
 		p.mu.Unlock()
-		if now.Sub(c.lastUsed) <= c.reuseTimeout && c.idleIntact() {
-			return c
+		carriedSame := requestID != "" && c.lastID == requestID
+		if !carriedSame && now.Sub(c.lastUsed) <= c.reuseTimeout && c.idleIntact() {
+			return c, nil
 		}
 		_ = c.Conn.Close()
 	}
@@ -179,7 +203,7 @@
 	if !errors.As(err, &timeout) || !timeout.Timeout() {
 		return false
 	}
-	c.reader.Reset(c.Conn) // clears the read error that the reader holds after Peek
+	c.reader.Reset(c.head) // clears the read error that the reader holds after Peek
 	return true
 }
 
@@ -187,7 +211,7 @@
 	c.lastUsed = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= limit {
+	if p.closed || len(p.idle[c.address]) >= limit {
 		_ = c.Conn.Close()
 		return
 	}
@@ -205,7 +229,8 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), reuseTimeout: maxIdleReuse}, nil
+	head := &headLimiter{reader: raw}
+	return &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), reuseTimeout: maxIdleReuse}, nil
 }
 
 func setUserTimeout(c *net.TCPConn) {
@@ -226,9 +251,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Progress: NotSent, Cause: err}
 	}
-	c := p.takeIdle(address, time.Now())
+	c, err := p.takeIdle(address, r.ID, time.Now())
+	if err != nil {
+		return nil, &Error{Progress: NotSent, Cause: err}
+	}
 	if c == nil {
-		var err error
 		if c, err = p.dial(ctx, address); err != nil {
 			return nil, &Error{Progress: NotSent, Cause: err}
 		}
@@ -242,6 +269,7 @@
 		return nil, &Error{Progress: Sent, Cause: err}
 	}
 	c.served++
+	c.lastID = r.ID
 	c.applyKeepAlive(head)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Framed: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
@@ -287,22 +315,26 @@
 func (c *conn) receive(r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
 	for range maxSkippedResponses + 1 {
+		c.head.begin()
 		response, err := http.ReadResponse(c.reader, method)
+		c.head.end()
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK { // informational responses (1xx)
 			continue
 		}
-		if r.AcceptResponse == nil || r.AcceptResponse(response.Header) {
+		if r.AcceptResponse == nil || r.AcceptResponse(response.Header, c.served == 0) {
 			return response, nil
 		}
 		if response.Close {
 			return nil, errUnexpectedResponse
 		}
 		// The upstream answered an earlier request twice; the response to this one follows.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1)); err != nil {
 			return nil, err
+		} else if n > maxSkippedBytes {
+			return nil, errSkippedTooLong
 		}
 	}
 	return nil, errUnexpectedResponse
