Bound buffered responses and check the target of a request when it is sent

Cause: 100 responses without end held 58 MB (a host has 112 to 134 MB); a failure longer than 1 MB was cut and passed on as if complete, with the engine's signature; a resumable stream whose engine sent only comments was kept until its deadline; a request whose connection took long to open was sent to a data centre that had been taken out, or to an engine that was leaving, meanwhile.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -9,7 +9,7 @@
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 256 << 10
+const maxEventBytes = 64 << 10
 
 var (
 	errEventTooLong = errors.New("an event of the stream is longer than the limit")
@@ -22,6 +22,8 @@
 	raw []byte
 	// id is the identifier of the event, -1 if it has none.
 	id int64
+	// hasData is set if the event has more than comments.
+	hasData bool
 }
 
 // eventReader splits a stream into events, so that only complete ones are forwarded.
@@ -37,6 +39,7 @@
 // between events.
 func (e *eventReader) next() (event, error) {
 	out := event{id: -1}
+	lineStart := 0 // of the current line in out.raw
 	for {
 		line, err := e.buffer.ReadSlice('\n')
 		out.raw = append(out.raw, line...)
@@ -52,13 +55,17 @@
 		if len(out.raw) > maxEventBytes {
 			return out, errEventTooLong
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
+		trimmed := bytes.TrimRight(out.raw[lineStart:], "\r\n")
+		lineStart = len(out.raw)
 		if len(trimmed) == 0 {
 			if len(bytes.TrimSpace(out.raw)) == 0 {
 				continue
 			}
 			return out, nil
 		}
+		if trimmed[0] != ':' {
+			out.hasData = true
+		}
 		if value, found := bytes.CutPrefix(trimmed, []byte("id:")); found {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				out.id = id
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	retryLimiter *retry.WindowLimiter
 	suspects     *Suspects
 	streams      *streamSet
+	bodies       bodyBuffer
 
 	// drain is nil until StartDrain.
 	drain          atomic.Pointer[drainPeriod]
@@ -174,7 +175,9 @@
 	fingerprint uint64
 	// streamLoad is the load that a stream currently puts on its upstream.
 	streamLoad balance.Load
-	logEntry   logEntry
+	// releaseBodies free the room of the buffered responses once the request has ended.
+	releaseBodies []func()
+	logEntry      logEntry
 }
 
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -183,6 +186,11 @@
 	c := &call{g: g, w: w, r: r, startedAt: time.Now(), catalog: g.Catalog(), info: g.Protocol.Request(r.Header)}
 	c.logEntry.startedAt = c.startedAt
 	defer c.logRequest()
+	defer func() {
+		for _, release := range c.releaseBodies {
+			release()
+		}
+	}()
 	if g.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,11 +10,6 @@
 	"github.com/rattanscale/rattanscale/internal/hop"
 )
 
-// maxBufferedResponseBytes limits the responses to plain requests, which are buffered
-// completely before they are forwarded. Buffering allows an idempotent request to run
-// again if its response is truncated.
-const maxBufferedResponseBytes = 1 << 20
-
 // idleConnectionFraction is the fraction of an upstream's connections that all hosts
 // together may keep idle; the rest is for requests in progress.
 const idleConnectionFraction = 0.5
@@ -44,6 +38,7 @@
 	errUnsignedResponse = errors.New("upstream answered without a signature; the answer is not passed on")
 	errUpstreamFailed   = errors.New("upstream failed")
 	errNoUpstream       = errors.New("no upstream is available")
+	errTargetLeft       = errors.New("the upstream began to leave before the request was sent")
 )
 
 // servePlain forwards a request that is not a stream.
@@ -104,10 +99,8 @@
 		return nil, result, err
 	}
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes+1))
-	if err == nil && len(body) > maxBufferedResponseBytes {
-		err = errors.New("the answer is longer than the limit")
-	}
+	body, release, err := c.g.bodies.read(response)
+	c.releaseBodies = append(c.releaseBodies, release)
 	if err != nil {
 		c.recordLostRun(u)
 		return nil, mayHaveRun, err
@@ -136,6 +129,7 @@
 			id := c.g.Protocol.Response(0, h).ID
 			return id == c.info.ID || id == "" && first
 		},
+		BeforeSend: func() error { return c.checkTarget(u, d) },
 	})
 	if err != nil {
 		return nil, c.recordExchangeFailure(u, err), err
@@ -164,13 +158,27 @@
 	return max(int(idleConnectionFraction*float64(connections))/max(hosts, 1), 1)
 }
 
+// checkTarget is called right before the request is sent, since time has passed since the
+// upstream was chosen: the connection had to be opened, or the process was paused. A run
+// that continues from a copy is tied to its engine, which may be leaving.
+func (c *call) checkTarget(u *catalog.Upstream, d Dispatch) error {
+	if d.CopyName != "" {
+		return nil
+	}
+	current := c.g.Catalog()
+	if latest := current.Upstreams[u.ID]; latest == nil || !current.Usable(latest) {
+		return errTargetLeft
+	}
+	return nil
+}
+
 // recordExchangeFailure records a failed exchange and reports whether the upstream may
 // have run the request.
 func (c *call) recordExchangeFailure(u *catalog.Upstream, err error) exchangeResult {
 	var hopError *hop.Error
 	if errors.As(err, &hopError) && hopError.Progress == hop.NotSent {
 		c.undeliveredSends++
-		if c.ctx.Err() == nil {
+		if c.ctx.Err() == nil && !errors.Is(err, errTargetLeft) {
 			c.g.LoadTracker.RecordFailure(u.ID, time.Now())
 			c.g.Pool.CloseIdle(u.Address)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -242,7 +242,8 @@
 // forwardFailure forwards an upstream's error status to the caller, or returns an error
 // if the request may run again or events were already delivered.
 func (c *call) forwardFailure(u *catalog.Upstream, response *hop.Response) (exchangeResult, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
+	body, release, err := c.g.bodies.read(response)
+	c.releaseBodies = append(c.releaseBodies, release)
 	if err != nil {
 		c.recordLostRun(u)
 		return mayHaveRun, err
@@ -260,8 +261,8 @@
 func (c *call) relayEvents(s *stream, u *catalog.Upstream, response *hop.Response) (exchangeResult, error) {
 	events := newEventReader(response)
 	controller := http.NewResponseController(c.w)
+	c.limitSilence(response)
 	for {
-		c.limitSilence(response)
 		e, err := events.next()
 		if err == nil {
 			err = s.acceptEvent(e)
@@ -282,6 +283,9 @@
 		}
 		c.logEntry.events++
 		c.markPromptProcessed(u)
+		if e.hasData { // comments do not show that the run goes on
+			c.limitSilence(response)
+		}
 		// The error is ignored because the request's context also ends when the caller has disconnected.
 		_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 		if _, err := c.w.Write(e.raw); err != nil {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -84,6 +84,9 @@
 	// a first connection no other request was sent before, so that no late response can
 	// arrive.
 	AcceptResponse func(h http.Header, first bool) bool
+	// BeforeSend is called once there is a connection, right before the first byte is
+	// written. After an error the request is not sent. It may be nil.
+	BeforeSend func() error
 	// MaxIdle bounds the idle connections to the upstream that are kept after the exchange; 0
 	// uses the default.
 	MaxIdle int
@@ -260,6 +263,12 @@
 			return nil, &Error{Progress: NotSent, Cause: err}
 		}
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.putIdle(c, time.Now(), r.idleLimit())
+			return nil, &Error{Progress: NotSent, Cause: err}
+		}
+	}
 	// Closing the connection makes the upstream stop its work.
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	head, err := c.exchange(r)
@@ -274,10 +283,12 @@
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Framed: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
 		body: head.Body, conn: c, pool: p, stopWatch: stop, reusable: !head.Close && !r.closes(),
-		maxIdle: lo.Ternary(r.MaxIdle > 0, r.MaxIdle, defaultMaxIdle),
+		maxIdle: r.idleLimit(),
 	}, nil
 }
 
+func (r *Request) idleLimit() int { return lo.Ternary(r.MaxIdle > 0, r.MaxIdle, defaultMaxIdle) }
+
 func (r *Request) closes() bool { return strings.EqualFold(r.Header.Get("Connection"), "close") }
 
 func (c *conn) exchange(r *Request) (*http.Response, error) {
