Keep one message or panic from ending a process or faking a complete answer

Cause: a panic while one datagram, table row, load report or migration was processed ended the process; the daemon's recovery swallowed http.ErrAbortHandler and appended a JSON body to a response that had begun, so that half of an answer looked complete; an empty log write stopped the log; a gossip message that could not be encoded was sent as an empty datagram; heads of the store's and the daemon's responses had the library's limit of 10 MB. Change: package guard recovers and logs at these places; the recovery closes the connection once the response has begun; the other three are checked or bounded.

--- a/internal/asynclog/writer.go
+++ b/internal/asynclog/writer.go
@@ -39,6 +39,9 @@
 
 // Write queues a copy of one line. It never blocks and never returns an error.
 func (l *Writer) Write(line []byte) (int, error) {
+	if len(line) == 0 { // a nil line in the queue stops the goroutine
+		return 0, nil
+	}
 	select {
 	case l.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -101,20 +101,49 @@
 	return s.recoverPanics(mux)
 }
 
-// recoverPanics logs a panic of a handler and returns an internal error to the caller,
-// so that one request cannot stop the daemon. It ignores http.ErrAbortHandler.
+// recoverPanics logs a panic of a handler and returns an internal error to the caller. If
+// the response has begun, it closes the connection instead, so that a part of a response
+// does not look complete.
 func (s *Server) recoverPanics(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tracked := &startedWriter{ResponseWriter: w}
 		defer func() {
-			if p := recover(); p != nil && p != http.ErrAbortHandler {
-				s.Log.Error(nil, "panic in a request handler", "path", r.URL.Path, "panic", p, "stack", string(debug.Stack()))
-				writeError(w, "", failure.New(failure.Internal, "internal error"))
+			p := recover()
+			switch {
+			case p == nil:
+				return
+			case p == http.ErrAbortHandler:
+				panic(p)
 			}
+			s.Log.Error(nil, "panic in a request handler", "path", r.URL.Path, "panic", p, "stack", string(debug.Stack()))
+			if tracked.started {
+				panic(http.ErrAbortHandler)
+			}
+			writeError(w, "", failure.New(failure.Internal, "internal error"))
 		}()
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(tracked, r)
 	})
 }
 
+// startedWriter records whether the response has begun.
+type startedWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+func (w *startedWriter) WriteHeader(status int) {
+	w.started = w.started || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *startedWriter) Write(b []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController reach the deadlines and the flushing of the writer.
+func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 type accountHandler func(w http.ResponseWriter, r *http.Request, account string)
 
 func (s *Server) requireAccountKey(next accountHandler) http.HandlerFunc {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/rattanscale/rattanscale/internal/guard"
 )
 
 // Row is one row of a mirrored table, or its deletion.
@@ -275,7 +277,8 @@
 			continue
 		}
 		startedAt := time.Now()
-		err := r.read(ctx, startedAt)
+		err := errReadPanicked
+		guard.Run(r.Log, "read of table "+r.Table.Name(), func() { err = r.read(ctx, startedAt) })
 		if failed := err != nil && ctx.Err() == nil; failed != storeUnreachable {
 			storeUnreachable = failed
 			r.logStoreState(err)
@@ -290,6 +293,9 @@
 	}
 }
 
+// errReadPanicked is the result of a read that did not return.
+var errReadPanicked = errors.New("the rows of the table could not be processed; see the logged panic")
+
 func (r *Reader) logStoreState(err error) {
 	if err != nil {
 		r.Log.Info("store dependency lost", "table", r.Table.Name(), "error", err.Error())
--- a/internal/frontend/copyscheduler.go
+++ b/internal/frontend/copyscheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/gossip"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/migration"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/routing"
@@ -92,7 +93,7 @@
 	case err == nil:
 		return response.Grant, func() { t.release(owner, r.ID) }, response.Granted
 	case ctx.Err() != nil || len(r.Destinations) == 0:
-		go t.release(owner, r.ID) // the owner may have granted the request already
+		go guard.Run(t.frontEnd.log, "release of a copy grant", func() { t.release(owner, r.ID) }) // the owner may have granted the request already
 		return migration.CopyGrant{}, nil, false
 	default:
 		t.frontEnd.log.Info("copy scheduler of the data centre not reached; copying without a grant", "owner", owner, "request", r.Run, "error", err.Error())
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/rattanscale/rattanscale/internal/follow"
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/retry"
@@ -346,7 +347,7 @@
 	if alreadyFetching {
 		return
 	}
-	go func() {
+	go guard.Run(f.log, "fetch of table changes", func() {
 		defer func() {
 			f.fetchMu.Lock()
 			f.fetching[t.Name()] = false
@@ -366,7 +367,7 @@
 			return
 		}
 		t.Merge(d, time.Now())
-	}()
+	})
 }
 
 // mirrorTable reads a table from the store while needed returns true and this host is one of
@@ -430,16 +431,20 @@
 				f.sendToAllNextRound()
 				evidenceSentAt = now
 			}
-			f.catalog.EvictExpired(now)
-			f.rollouts.evaluate(ctx, now)
-			f.pool.CloseStale(now)
-			f.gateway.Suspects().Evict(now, f.liveHosts(now))
-			upstreams := f.gateway.Catalog().Upstreams
-			f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
+			guard.Run(f.log, "housekeeping", func() { f.keepHouse(ctx, now) })
 		}
 	}
 }
 
+func (f *FrontEnd) keepHouse(ctx context.Context, now time.Time) {
+	f.catalog.EvictExpired(now)
+	f.rollouts.evaluate(ctx, now)
+	f.pool.CloseStale(now)
+	f.gateway.Suspects().Evict(now, f.liveHosts(now))
+	upstreams := f.gateway.Catalog().Upstreams
+	f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
+}
+
 // liveHosts returns a function that reports whether another host is live.
 func (f *FrontEnd) liveHosts(now time.Time) func(host string) bool {
 	members := lo.KeyBy(f.members.Live(now), func(m gossip.Member) string { return m.Name })
--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/gateway"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/rollout"
 )
 
@@ -186,7 +187,12 @@
 	r.writing = true
 	status := catalog.RolloutStatus{Service: t.order.Service, Version: t.order.Version, Phase: t.phase}
 	expected := t.statusRevision
-	go func() {
+	go guard.Run(r.frontEnd.log, "write of a rollout status", func() {
+		defer func() {
+			r.mu.Lock()
+			r.writing = false
+			r.mu.Unlock()
+		}()
 		ctx, cancel := context.WithTimeout(ctx, statusWriteTimeout)
 		defer cancel()
 		// A failed write may still have been applied; the mirrored status will show it.
@@ -195,10 +201,7 @@
 		} else {
 			r.frontEnd.log.Info("rollout status written", "service", status.Service, "version", status.Version, "phase", string(status.Phase))
 		}
-		r.mu.Lock()
-		r.writing = false
-		r.mu.Unlock()
-	}()
+	})
 }
 
 // requestShare returns the fraction of the service's requests that goes to the new version.
--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/migration"
 )
 
@@ -111,7 +112,7 @@
 			continue
 		}
 		if len(g.streams.runningOn(u.ID)) > 0 && g.streams.claimEngine(u.ID) {
-			go g.migrateStreams(u, service)
+			go guard.Run(g.Log, "migration of streams", func() { g.migrateStreams(u, service) })
 		}
 	}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/guard"
 )
 
 const (
@@ -121,7 +122,7 @@
 				continue
 			}
 			for _, u := range g.streams.enginesInUse() {
-				go g.queryLeaving(ctx, u)
+				go guard.Run(g.Log, "question whether an engine is leaving", func() { g.queryLeaving(ctx, u) })
 			}
 		}
 	}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
+	"github.com/rattanscale/rattanscale/internal/guard"
 )
 
 const (
@@ -75,14 +76,14 @@
 	for {
 		select {
 		case <-ticker.C:
-			t.sendRegularRound()
+			guard.Run(t.Log, "gossip round", t.sendRegularRound)
 		case <-t.LoadsChanged:
 			if batchDue == nil {
 				batchDue = time.After(changeBatchWindow)
 			}
 		case <-batchDue:
 			batchDue = nil
-			t.sendChanges()
+			guard.Run(t.Log, "gossip of changed loads", t.sendChanges)
 		case <-ctx.Done():
 			return
 		}
@@ -218,12 +219,16 @@
 func (t *Transport) marshal(m *Message) []byte {
 	data, err := m.encode()
 	if err != nil {
-		t.Log.Error(err, "gossip message could not be encoded; sending an empty datagram")
+		t.Log.Error(err, "gossip message could not be encoded; it is not sent")
+		return nil
 	}
 	return data
 }
 
 func (t *Transport) sendDatagram(data []byte, address string) {
+	if len(data) == 0 { // the message could not be encoded
+		return
+	}
 	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		t.Log.Error(err, "peer address is invalid", "address", address)
@@ -245,22 +250,26 @@
 		if err != nil { // the peer refused an earlier datagram (ICMP)
 			continue
 		}
-		m, err := decodeMessage(buffer[:n])
-		if err != nil {
-			t.Log.Info("gossip message could not be read", "from", from.String(), "error", err.Error())
-			continue
-		}
-		now := time.Now()
-		newOrChanged := t.Table.Merge(m, now)
-		if t.Table.AcceptInOrder(m.Self) {
-			t.OnReceived(m, now)
-		}
-		if newOrChanged && !m.Reply {
-			reply := Message{Reply: true}
-			if m.Self.State == Starting {
-				reply.Others = t.Table.MembersToIntroduce(m.Self, now, maxMembersForStartingHost)
-			}
-			t.sendDatagram(t.composeAndMarshal(now, true, reply), from.String())
+		guard.Run(t.Log, "gossip datagram", func() { t.handleDatagram(buffer[:n], from.String()) })
+	}
+}
+
+func (t *Transport) handleDatagram(data []byte, from string) {
+	m, err := decodeMessage(data)
+	if err != nil {
+		t.Log.Info("gossip message could not be read", "from", from, "error", err.Error())
+		return
+	}
+	now := time.Now()
+	newOrChanged := t.Table.Merge(m, now)
+	if t.Table.AcceptInOrder(m.Self) {
+		t.OnReceived(m, now)
+	}
+	if newOrChanged && !m.Reply {
+		reply := Message{Reply: true}
+		if m.Self.State == Starting {
+			reply.Others = t.Table.MembersToIntroduce(m.Self, now, maxMembersForStartingHost)
 		}
+		t.sendDatagram(t.composeAndMarshal(now, true, reply), from)
 	}
 }
--- a/internal/hop/faults_test.go
+++ b/internal/hop/faults_test.go
@@ -47,9 +47,9 @@
 	if _, err := io.WriteString(c, start); err != nil {
 		return
 	}
-	block := strings.Repeat(text, max((16<<10)/len(text), 1))
+	block := []byte(strings.Repeat(text, max((16<<10)/len(text), 1)))
 	for {
-		if _, err := io.WriteString(c, block); err != nil {
+		if _, err := c.Write(block); err != nil {
 			return
 		}
 	}
--- a/internal/permit/healthchecks.go
+++ b/internal/permit/healthchecks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/entity"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/pool"
 	"github.com/rattanscale/rattanscale/internal/upstream"
 )
@@ -53,7 +54,7 @@
 	ticker := time.NewTicker(loadPollInterval)
 	defer ticker.Stop()
 	for {
-		w.pollOnce(ctx, name, p, kind)
+		guard.Run(w.owner.log, "load report of "+name, func() { w.pollOnce(ctx, name, p, kind) })
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/permit/owned.go
+++ b/internal/permit/owned.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/pool"
 	"github.com/rattanscale/rattanscale/internal/quarantine"
 	"github.com/rattanscale/rattanscale/internal/upstream"
@@ -257,7 +258,7 @@
 			w.answerRequest(c.RequestID, AcquireResult{Refusal: &Refusal{Reason: c.Reason, RetryAfter: c.RetryAfter}})
 		case pool.CancelAtUpstream:
 			w.owner.events.Record("upstream-cancel", c.RequestID, "upstream", c.Upstream)
-			go w.cancelAtUpstream(w.ctx, c)
+			go guard.Run(w.owner.log, "cancellation at an upstream", func() { w.cancelAtUpstream(w.ctx, c) })
 		}
 	}
 	w.requestReports(w.state.ReportsNeeded(w.owner.now()))
@@ -266,7 +267,7 @@
 			w.owner.events.Record("request-suspected", "", "pool", w.key.pool, "fingerprint", strconv.FormatUint(n.Fingerprint, 16),
 				"losses", strconv.Itoa(n.Losses), "refused", strconv.FormatBool(n.Refused), "cleared", strconv.FormatBool(n.Cleared))
 		}
-		go w.owner.SendNotices(notices)
+		go guard.Run(w.owner.log, "notices of suspected requests", func() { w.owner.SendNotices(notices) })
 	}
 }
 
--- a/internal/storage/httpclient.go
+++ b/internal/storage/httpclient.go
@@ -15,12 +15,15 @@
 func NewHTTPClient(dialTimeout time.Duration) *http.Client {
 	const maxIdle = 16
 	const idleTimeout = 30 * time.Second
+	const maxHeaderBytes = 64 << 10
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext,
 		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -28,6 +28,7 @@
 func NewHTTPClient(dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
 	const idleTimeout = 30 * time.Second
 	const maxIdle = 1024
+	const maxHeaderBytes = 32 << 10
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Client{
 		Transport: &http.Transport{
@@ -43,6 +44,8 @@
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
