Add rattanctl explain, which finds the cause of a failed request in the logs of many hosts

Cause: with hundreds of hosts nobody can follow a request through the logs by hand. Recovered panics have a metric.

--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"io"
+	"os"
 
 	"github.com/google/subcommands"
 
@@ -46,6 +47,7 @@
 		&dataCentreCommand{client: client{environment: env}},
 		&rolloutCommand{client: client{environment: env}},
 		&requestCommand{client: client{environment: env}},
+		&explainCommand{env: env, stdin: os.Stdin},
 	} {
 		commander.Register(c, "")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rattanscale/rattanscale/internal/changelog"
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/idempotency"
 	"github.com/rattanscale/rattanscale/internal/membership"
 	"github.com/rattanscale/rattanscale/internal/membership/runner"
@@ -82,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	d.metrics.NewGauge("rattanscale_recovered_panics_total", func() float64 { return float64(guard.Recovered()) })
 	d.metrics.NewGauge("rattanscale_log_lines_dropped_total", func() float64 { return float64(e.LogDropped()) })
 	return d.serveUntilDone(ctx)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rattanscale/rattanscale/internal/guard"
 )
 
 // Metrics holds the metrics of the gateway. It is safe for concurrent use.
@@ -13,7 +15,11 @@
 	set *metrics.Set
 }
 
-func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet()} }
+func NewMetrics() *Metrics {
+	m := &Metrics{set: metrics.NewSet()}
+	m.set.NewGauge("rattanscale_recovered_panics_total", func() float64 { return float64(guard.Recovered()) })
+	return m
+}
 
 // Write writes the metrics in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
