List restarted hosts of other cells whose clock went back

Cause: a host whose incarnation (its start time) is lower after a restart was accepted only by hosts that received its own datagrams. A member reported with a negative age would have stayed live for that time. Change: reports of other hosts count as well, if they state that the host was seen after it had failed. Reports without an age, as of the first version, do not.

--- a/internal/gossip/cells_test.go
+++ b/internal/gossip/cells_test.go
@@ -91,6 +91,28 @@
 	lossRandom    *rand.Rand
 	sentBytes     int
 	sentDatagrams int
+	// dataCentres holds the data centre of each address; the one named cutOff exchanges no
+	// datagrams with the others.
+	dataCentres map[string]string
+	cutOff      string
+}
+
+// cut partitions a data centre from the others; an empty name ends the partition.
+func (w *memoryNetwork) cut(dataCentre string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutOff = dataCentre
+}
+
+// reachable reports whether two data centres exchange datagrams.
+func (w *memoryNetwork) reachable(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reachableLocked(a, b)
+}
+
+func (w *memoryNetwork) reachableLocked(a, b string) bool {
+	return w.cutOff == "" || (a == w.cutOff) == (b == w.cutOff)
 }
 
 func (w *memoryNetwork) totals() (bytes, datagrams int) {
@@ -126,7 +148,11 @@
 	defer b.network.mu.Unlock()
 	b.network.sentBytes += len(data)
 	b.network.sentDatagrams++
-	if target := b.network.sockets[to.String()]; target != nil && b.network.lossRandom.IntN(100) > 0 {
+	target := b.network.sockets[to.String()]
+	if target != nil && !b.network.reachableLocked(b.network.dataCentres[b.address.String()], b.network.dataCentres[to.String()]) {
+		target = nil
+	}
+	if target != nil && b.network.lossRandom.IntN(100) > 0 {
 		select {
 		case target.inbox <- datagram{append([]byte{}, data...), b.address}:
 		default:
@@ -151,52 +177,64 @@
 // startSite starts hosts with three seeds. Upstream "DC/x" is in the data centre DC.
 func startSite(t *testing.T, w *memoryNetwork, hosts []Member) []*simulatedHost {
 	var out []*simulatedHost
-	var seeds []string
+	w.dataCentres = make(map[string]string)
 	for i := range hosts {
 		hosts[i].PeerAddress = fmt.Sprintf("10.%d.%d.%d:7000", i/10000, i/100%100, i%100+1)
 		hosts[i].CallerAddress = hosts[i].PeerAddress
-		if i < 3 {
-			seeds = append(seeds, hosts[i].PeerAddress)
-		}
+		w.dataCentres[hosts[i].PeerAddress] = hosts[i].DataCentre
 	}
 	for _, h := range hosts {
-		address, err := net.ResolveUDPAddr("udp", h.PeerAddress)
-		require.NoError(t, err)
-		w.sockets[h.PeerAddress] = &memorySocket{network: w, address: address, inbox: make(chan datagram, 4096), closed: make(chan struct{})}
-	}
-	for _, h := range hosts {
-		h.State = Starting
-		p := &simulatedHost{table: NewTable(h), loads: balance.NewTracker()}
-		transport := &Transport{
-			Table: p.table, Conn: w.sockets[h.PeerAddress], Seeds: seeds, LoadsChanged: p.loads.Changed(), Log: logr.Discard(),
-			LocateUpstream: func(upstream string) (string, bool) { return upstream[:4], true },
-			Compose: func(m *Message, _ bool) {
-				switch m.Content {
-				case AllLoads:
-					m.Loads = p.loads.OwnLoads()
-				case ChangedLoads:
-					m.Loads = p.loads.TakeChanges()
-				case NoLoads:
-				}
-			},
-			OnReceived: func(m Message, now time.Time) {
-				if m.Content == AllLoads {
-					p.loads.SetPeerReport(m.Self.Name, m.Loads, now)
-				} else {
-					p.loads.UpdatePeerReport(m.Self.Name, m.Loads, now)
-				}
-			},
-		}
-		p.transport = transport
-		ctx, cancel := context.WithCancel(t.Context())
-		p.cancel = cancel
-		go transport.Run(ctx)
-		time.AfterFunc(500*time.Millisecond, func() { p.table.SetState(Ready) })
-		out = append(out, p)
+		out = append(out, startHost(t, w, h, seedAddresses(hosts)))
 	}
 	return out
 }
 
+func seedAddresses(hosts []Member) []string {
+	var seeds []string
+	for _, h := range hosts[:3] {
+		seeds = append(seeds, h.PeerAddress)
+	}
+	return seeds
+}
+
+// startHost starts a host with a new socket.
+func startHost(t *testing.T, w *memoryNetwork, h Member, seeds []string) *simulatedHost {
+	address, err := net.ResolveUDPAddr("udp", h.PeerAddress)
+	require.NoError(t, err)
+	socket := &memorySocket{network: w, address: address, inbox: make(chan datagram, 4096), closed: make(chan struct{})}
+	w.mu.Lock()
+	w.sockets[h.PeerAddress] = socket
+	w.mu.Unlock()
+	h.State = Starting
+	p := &simulatedHost{table: NewTable(h), loads: balance.NewTracker()}
+	transport := &Transport{
+		Table: p.table, Conn: socket, Seeds: seeds, LoadsChanged: p.loads.Changed(), Log: logr.Discard(),
+		LocateUpstream: func(upstream string) (string, bool) { return upstream[:4], true },
+		Compose: func(m *Message, _ bool) {
+			switch m.Content {
+			case AllLoads:
+				m.Loads = p.loads.OwnLoads()
+			case ChangedLoads:
+				m.Loads = p.loads.TakeChanges()
+			case NoLoads:
+			}
+		},
+		OnReceived: func(m Message, now time.Time) {
+			if m.Content == AllLoads {
+				p.loads.SetPeerReport(m.Self.Name, m.Loads, now)
+			} else {
+				p.loads.UpdatePeerReport(m.Self.Name, m.Loads, now)
+			}
+		},
+	}
+	p.transport = transport
+	ctx, cancel := context.WithCancel(t.Context())
+	p.cancel = cancel
+	go transport.Run(ctx)
+	time.AfterFunc(500*time.Millisecond, func() { p.table.SetState(Ready) })
+	return p
+}
+
 // Guards against faults of a site with several cells and lost datagrams: live hosts that
 // count as failed, failed hosts that stay listed as live, loads that do not reach the hosts
 // sharing an upstream, and traffic that grows with the site.
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -268,7 +268,8 @@
 	if m.Name == t.self.Name || m.Name == "" {
 		return false
 	}
-	e, lastSeen := t.others[m.Name], now.Add(-time.Duration(m.Age)*time.Millisecond)
+	// A negative age would keep a failed host live.
+	e, lastSeen := t.others[m.Name], now.Add(-time.Duration(max(m.Age, 0))*time.Millisecond)
 	if m.PeerAddress == "" {
 		if e == nil || e.member.Incarnation != m.Incarnation {
 			return false // the next full datagram includes the addresses
@@ -280,9 +281,11 @@
 		t.others[m.Name] = &entry{member: m, lastSeen: lastSeen, incarnationLearntAt: now, inOtherCell: inOtherCell}
 		return true
 	}
-	// The clock may go back before a restart. A failed host that sends a datagram under
-	// another incarnation has therefore restarted, even if that incarnation is lower.
-	restarted := direct && m.Incarnation != e.member.Incarnation && now.Sub(e.lastSeen) > FailureTimeout
+	// The clock may go back before a restart. A failed host that was seen since then under
+	// another incarnation has therefore restarted, even if that incarnation is lower. Reports
+	// of other hosts count only with an age; hosts of the first version send none.
+	ageKnown := direct || m.Age > 0
+	restarted := ageKnown && m.Incarnation != e.member.Incarnation && lastSeen.Sub(e.lastSeen) > FailureTimeout
 	if !restarted && !m.newerThan(e.member) {
 		return false
 	}
