--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -40,8 +40,6 @@
 	// MaxEventGap is the longest pause between events of a stream that counts as on
 	// time; 0 is unlimited.
 	MaxEventGap time.Duration
-	// Priority ranks routes; 0 is the most urgent.
-	Priority int
 	// MaxAttempts is the maximum number of upstreams that may run one attempt of a
 	// caller.
 	MaxAttempts int
@@ -93,8 +91,6 @@
 type Account struct {
 	Name string
 	Keys []string
-	// Priority replaces the priority of the route; nil keeps it.
-	Priority *int
 }
 
 // Limits bounds the size and the duration of callers' requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,16 +152,15 @@
 
 // call is the state of one request of a caller.
 type call struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	info     RequestInfo
-	catalog  *catalog.Catalog
-	route    *catalog.Route
-	service  *catalog.Service
-	account  string
-	priority int
-	body     []byte
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	info    RequestInfo
+	catalog *catalog.Catalog
+	route   *catalog.Route
+	service *catalog.Service
+	account string
+	body    []byte
 
 	startedAt time.Time
 	deadline  time.Time
@@ -219,12 +218,8 @@
 		c.fail(http.StatusNotFound, "no route matches")
 		return false
 	}
-	c.priority = c.route.Priority
 	if account := configuration.Account(c.info.Key); account != nil {
 		c.account = account.Name
-		if account.Priority != nil {
-			c.priority = *account.Priority
-		}
 	} else if configuration.AuthRequired() && !c.route.Public {
 		c.fail(http.StatusUnauthorized, "the key is unknown")
 		return false
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -119,7 +119,7 @@
 // the caller must close the response.
 func (c *call) dispatch(u *catalog.Upstream, d Dispatch) (*hop.Response, exchangeResult, error) {
 	now := time.Now()
-	d.Upstream, d.Account, d.Remaining, d.Priority = u, c.account, c.remaining(now), c.priority
+	d.Upstream, d.Account, d.Remaining = u, c.account, c.remaining(now)
 	c.sends++
 	c.logEntry.upstream = u.ID
 	response, err := c.g.Pool.Do(c.ctx, u.Address, &hop.Request{
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -46,8 +46,6 @@
 	// CopyName identifies a copy of the run's memory from which the request continues;
 	// "" starts a new run.
 	CopyName string
-	// Priority is the priority of the request in the engine's queue.
-	Priority int
 }
 
 // ResponseInfo holds what the upstream's headers state.
--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -172,7 +172,7 @@
 }
 
 // Adopt registers a stream that was started through another host, so that this daemon
-// renews its permit.
+// renews its permit. The permit does not allow sending the request again: MaySend refuses.
 func (c *Client) Adopt(poolName string, running RunningRequest) *HeldPermit {
 	held := &HeldPermit{client: c, pool: poolName, role: roleOf(running.Permit.ID), running: running, startedAt: c.now(), unannounced: true}
 	c.mu.Lock()
