Do not let a load report hide requests that are still on their way to an engine

Cause: a report is dated with the start of its read, but the engine may count up to its end. A request granted and started in between raised the reported number, and hid one granted before that had not arrived. Ruled out before: repeated grants. Change: requests granted since the date of the report are taken off its number before the comparison.

--- a/internal/pool/decide_test.go
+++ b/internal/pool/decide_test.go
@@ -453,3 +453,27 @@
 	s.Report(now, Report{Upstream: "e000", Incarnation: "2"})
 	require.False(t, s.quarantine.ShouldIsolate(now, request(1).Fingerprint))
 }
+
+// Guards against more requests than a cold engine can bear at an engine that restarts right
+// after a report: the report may already count a request that was granted while it was read,
+// and then hides that an earlier one had not arrived.
+func TestReportIncludesRequestsGrantedWhileItWasRead(t *testing.T) {
+	s, now := warmState(1)
+	grantOne := func(id int) bool {
+		granted, _ := acquire(s, now, request(id))
+		return len(granted) == 1
+	}
+	now = now.Add(time.Second)
+	require.True(t, grantOne(1)) // delayed on its way to the engine
+	readStarted := now.Add(5 * time.Millisecond)
+	now = readStarted.Add(time.Millisecond)
+	require.True(t, grantOne(2)) // arrives before the report is taken
+	now = readStarted.Add(10 * time.Millisecond)
+	s.Report(now, Report{Upstream: "e000", Incarnation: "1", Running: 1, Age: now.Sub(readStarted)})
+	if !grantOne(3) {
+		return
+	}
+	// The engine restarts here: requests 1 and 3 arrive at the cold engine, and 2 is sent
+	// again.
+	t.Fatalf("3 requests may arrive after a restart, the engine bears %d", engineLimits.ColdRequests)
+}
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -190,21 +190,29 @@
 // countInTransit compares the report with the permits granted before it was taken.
 // Those that it does not show as running had not arrived or had ended. Up to reserve of
 // the requests that it shows may be the deputy's.
+//
+// takenAt is the earliest time at which the report can have been taken. It may be as late as
+// its arrival, so that it may show requests that were granted in between.
 func (u *upstream) countInTransit(takenAt time.Time, reserve int) {
-	granted := 0
-	for _, p := range u.permits {
-		if p.grantedAt.Before(takenAt) {
-			granted++
+	before, since := 0, 0
+	count := func(grantedAt time.Time) {
+		if grantedAt.Before(takenAt) {
+			before++
+		} else {
+			since++
 		}
 	}
+	for _, p := range u.permits {
+		count(p.grantedAt)
+	}
 	for _, e := range u.endedPermits {
-		if e.grantedAt.Before(takenAt) && !e.endedAt.Before(takenAt) {
-			granted++
+		if !e.endedAt.Before(takenAt) {
+			count(e.grantedAt)
 		}
 	}
-	u.inTransit = granted
+	u.inTransit = before
 	if !u.unverified {
-		u.inTransit = max(granted-max(u.report.Running-reserve, 0), 0)
+		u.inTransit = min(max(before-max(u.report.Running-reserve-since, 0), 0), before)
 	}
 }
 
