--- a/internal/capacity/streams_test.go
+++ b/internal/capacity/streams_test.go
@@ -104,12 +104,12 @@
 	}
 	r.server = httptest.NewServer(api.Handler())
 	b.Cleanup(func() {
+		_ = l.Close() // the relay would otherwise wait for an engine that accepts nothing more
 		for _, c := range append(r.callerConns, r.engineConns...) {
 			_ = c.Close()
 		}
 		r.server.Close()
 		client.Close()
-		_ = l.Close()
 	})
 	return r
 }
