Let a host that stepped in as a reader of the store go on reading

The next hosts step in when the last confirmation is 1.2 s old, plus 0.4 s for each rank. Change: a host that steps in reads for 10 s, then pauses for 1.2 s to see whether the readers are back. The order follows a hash of the name, since hosts of one data centre are often cut together, and hosts follow after 0.15 s. The decision is code of its own (readDuty).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -26,11 +26,6 @@
 )
 
 const (
-	// standbyReadAge is the age of the last confirmation by any reader after which other hosts
-	// start to read the store, one more per standbyReadStagger. The stagger limits the calls,
-	// which cost money and would all fail in an outage.
-	standbyReadAge     = 1200 * time.Millisecond
-	standbyReadStagger = 400 * time.Millisecond
 	// minUpstreamReadInterval and minOperatorReadInterval limit the rate of reads of a table.
 	// They also bound the delay until a reader knows of an engine that leaves at short notice.
 	minUpstreamReadInterval = 150 * time.Millisecond
@@ -46,10 +41,6 @@
 	memoryLimitShare = 0.6
 	// methodChanges is the peer call that fetches changes of a table.
 	methodChanges = "table.changes"
-	// startReadDelay is how long a starting host waits for its peers' tables before it reads
-	// whole tables from the store. startReadStagger is added per host of lower rank.
-	startReadDelay   = 250 * time.Millisecond
-	startReadStagger = 20 * time.Millisecond
 	// maxConcurrentFetches bounds the fetches that are served concurrently: after a restart of a
 	// large site all peers fetch whole tables.
 	maxConcurrentFetches = 4
@@ -373,21 +364,19 @@
 // mirrorTable reads a table from the store while needed returns true and this host is one of
 // the readers, or while no reader has reached the store recently.
 func (f *FrontEnd) mirrorTable(ctx context.Context, t *follow.Table, minReadInterval time.Duration, needed func() bool) {
+	var duty readDuty
 	reader := follow.Reader{
 		Table: t, Store: announcingStore{f.store, f.gossip.SendNow}, MinReadInterval: minReadInterval, Log: f.log,
 		ShouldRead: func(now time.Time) bool {
 			if !needed() {
 				return false
 			}
-			rank := f.members.CellRank(now)
-			if rank < f.cellReaderCount() && (f.isSeed() || now.Sub(f.startedAt) > startReadDelay) {
-				return true
-			}
+			rank, standbyRank := f.members.CellRanks(now)
 			_, confirmed, known := t.Status()
-			if !known {
-				return now.Sub(f.startedAt) > startReadDelay+time.Duration(rank)*startReadStagger
-			}
-			return now.Sub(confirmed) > standbyReadAge+time.Duration(rank)*standbyReadStagger
+			return duty.shouldRead(readSituation{
+				now: now, startedAt: f.startedAt, rank: rank, standbyRank: standbyRank, readers: f.cellReaderCount(),
+				isSeed: f.isSeed(), confirmedAt: confirmed, known: known,
+			})
 		},
 	}
 	reader.Run(ctx)
--- /dev/null
+++ b/internal/frontend/readduty.go
@@ -0,0 +1,64 @@
+package frontend
+
+import (
+	"time"
+)
+
+const (
+	// standbyReadAge is the age of the last confirmation by any reader after which other hosts
+	// start to read the store, one more per standbyReadStagger. The stagger limits the calls,
+	// which cost money and would all fail in an outage.
+	standbyReadAge     = 1200 * time.Millisecond
+	standbyReadStagger = 150 * time.Millisecond
+	// readTerm is how long a host that has stepped in goes on reading. Then it pauses for
+	// standbyReadAge, so that it stops if the regular readers are back.
+	readTerm = 10 * time.Second
+	// startReadDelay is how long a starting host waits for its peers' tables before it reads
+	// whole tables from the store. startReadStagger is added per host of lower rank.
+	startReadDelay   = 250 * time.Millisecond
+	startReadStagger = 20 * time.Millisecond
+)
+
+// readSituation is what a host knows when it decides whether to read a table.
+type readSituation struct {
+	now, startedAt time.Time
+	// rank is the host's place among the regular readers, and standbyRank its place among the
+	// hosts that step in. They differ, so that the hosts of a data centre that is cut from the
+	// store do not all come first.
+	rank, standbyRank, readers int
+	isSeed                     bool
+	// confirmedAt is when the store last confirmed the table to any host; known is false while
+	// the table is not loaded.
+	confirmedAt time.Time
+	known       bool
+}
+
+// readDuty decides whether a host reads a table from the store. A few hosts read for all;
+// others step in, one after another, while no reader reaches the store. It answers hosts that
+// live and talk to each other, but are cut from the store: a host that steps in must go on
+// reading, or each change would wait until the table is old again. It is used by one goroutine.
+type readDuty struct {
+	termEnd time.Time
+}
+
+// shouldRead reports whether the host reads the table now.
+func (d *readDuty) shouldRead(s readSituation) bool {
+	sinceStart := s.now.Sub(s.startedAt)
+	switch {
+	case s.rank < s.readers && (s.isSeed || sinceStart > startReadDelay):
+		return true
+	case !s.known:
+		return sinceStart > startReadDelay+time.Duration(s.rank)*startReadStagger
+	case s.now.Before(d.termEnd):
+		return true
+	}
+	wait := standbyReadAge
+	if justRead := s.now.Sub(d.termEnd) < readTerm; !justRead {
+		wait += time.Duration(s.standbyRank) * standbyReadStagger
+	}
+	if s.now.Sub(s.confirmedAt) <= wait {
+		return false
+	}
+	d.termEnd = s.now.Add(readTerm)
+	return true
+}
--- /dev/null
+++ b/internal/frontend/readduty_test.go
@@ -0,0 +1,105 @@
+package frontend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rattanscale/rattanscale/internal/retry"
+)
+
+const (
+	simulatedStep = 50 * time.Millisecond
+	// spreadTime is the time in which a confirmation reaches all hosts.
+	spreadTime = 200 * time.Millisecond
+)
+
+// simulateReads returns the largest age of the last confirmation, from the time at which the
+// given hosts are cut from the store, and the calls that failed.
+func simulateReads(hosts, readers int, cut func(rank int) bool, length time.Duration) (oldest time.Duration, failed int) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	duties := make([]readDuty, hosts)
+	standbyRanks := make([]int, hosts)
+	for i := range hosts {
+		for j := range hosts {
+			if retry.Hash(fmt.Sprint("h", j)) < retry.Hash(fmt.Sprint("h", i)) {
+				standbyRanks[i]++
+			}
+		}
+	}
+	lastTry := make([]time.Time, hosts)
+	var reads []time.Time
+	known := start
+	for now := start; now.Before(start.Add(length)); now = now.Add(simulatedStep) {
+		for len(reads) > 0 && now.Sub(reads[0]) >= spreadTime {
+			known, reads = reads[0], reads[1:]
+		}
+		for i := range hosts {
+			s := readSituation{now: now, startedAt: start.Add(-time.Hour), rank: i, standbyRank: standbyRanks[i], readers: readers, isSeed: true, confirmedAt: known, known: true}
+			if !duties[i].shouldRead(s) || now.Sub(lastTry[i]) < 100*time.Millisecond {
+				continue
+			}
+			lastTry[i] = now
+			if cut(i) {
+				failed++
+				lastTry[i] = now.Add(700 * time.Millisecond) // the pause after failed reads
+				continue
+			}
+			reads = append(reads, now)
+		}
+		oldest = max(oldest, now.Sub(known))
+	}
+	return oldest, failed
+}
+
+// Guards against configurations that reach no host for seconds because the regular readers,
+// and others, are cut from the store: a host that stepped in read once, and then only when the
+// table was old again. The bounds are the times within which a configuration must be in force.
+func TestHostsStepInForReadersWithoutTheStore(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, site := range []struct {
+		hosts int
+		bound time.Duration
+	}{{9, 2 * time.Second}, {88, 3 * time.Second}} {
+		for name, cut := range map[string]func(rank int) bool{
+			"the readers":             func(rank int) bool { return rank < 2 },
+			"a third, first by name":  func(rank int) bool { return rank < site.hosts/3 },
+			"the readers and a third": func(rank int) bool { return rank < 2 || uint64(rank)*2654435761%3 == 0 },
+		} {
+			oldest, failed := simulateReads(site.hosts, 2, cut, 30*time.Second)
+			t.Logf("%d hosts, cut %s: age at most %v, %d failed reads", site.hosts, name, oldest, failed)
+			assert.LessOrEqual(t, oldest, site.bound, "%d hosts, cut %s", site.hosts, name)
+		}
+		worst := time.Duration(0)
+		for range 200 {
+			lost := make([]bool, site.hosts)
+			for i := range lost {
+				lost[i] = random.IntN(100) < 35
+			}
+			oldest, _ := simulateReads(site.hosts, 2, func(rank int) bool { return lost[rank] }, 15*time.Second)
+			worst = max(worst, oldest)
+		}
+		t.Logf("%d hosts, 35 in 100 cut, 200 draws: age at most %v", site.hosts, worst)
+		assert.LessOrEqual(t, worst, site.bound)
+	}
+}
+
+// Guards against hosts that all read the store in an outage, which would cost calls that fail,
+// or that go on reading when the regular readers are back.
+func TestFewHostsReadInAnOutage(t *testing.T) {
+	_, failed := simulateReads(88, 2, func(int) bool { return true }, 5*time.Second)
+	t.Logf("%d failed reads of one table in 5 s", failed)
+	assert.Less(t, failed, 150)
+
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var duty readDuty
+	s := readSituation{now: now, startedAt: now.Add(-time.Hour), rank: 5, standbyRank: 1, readers: 2, known: true, confirmedAt: now.Add(-2 * time.Second)}
+	assert.True(t, duty.shouldRead(s))
+	s.now, s.confirmedAt = now.Add(readTerm), now.Add(readTerm-100*time.Millisecond)
+	assert.False(t, duty.shouldRead(s), "the term is over and another host reads")
+	s.now, s.confirmedAt = now.Add(3*readTerm), now.Add(3*readTerm-standbyReadAge-standbyReadStagger)
+	assert.False(t, duty.shouldRead(s), "the host that comes first steps in")
+}
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/retry"
 )
 
 // State is the state that a host reports of itself.
@@ -424,11 +425,18 @@
 // Rank returns this host's rank by name, from 0, among the live hosts that are not draining.
 func (t *Table) Rank(now time.Time) int { return t.rank(t.Live(now)) }
 
-// CellRank returns this host's rank by name, from 0, among the live hosts of its cell that are
-// not draining.
-func (t *Table) CellRank(now time.Time) int {
+// CellRanks returns this host's ranks, from 0, among the live hosts of its cell that are not
+// draining: by name, and by a hash of the name, which mixes the hosts of the data centres.
+func (t *Table) CellRanks(now time.Time) (byName, byHash int) {
 	cells := t.Cells()
-	return t.rank(slices.DeleteFunc(t.Live(now), func(m Member) bool { return !cells.InOwnCell(m.DataCentre, m.Name) }))
+	live := slices.DeleteFunc(t.Live(now), func(m Member) bool { return !cells.InOwnCell(m.DataCentre, m.Name) })
+	own := retry.Hash(t.Self().Name)
+	for _, m := range live {
+		if m.State != Draining && retry.Hash(m.Name) < own {
+			byHash++
+		}
+	}
+	return t.rank(live), byHash
 }
 
 func (t *Table) rank(live []Member) int {
