--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -86,14 +86,18 @@
 }
 
 // relatedSteps returns what the host learnt about itself and the request's upstream while it
-// had the request.
+// had the request, and about the upstream soon afterwards.
 func (c *Collector) relatedSteps(end *Record) []Step {
 	began, upstream := end.Time.Add(-end.Millis("ms")), end.Get("upstream")
 	var out []Step
 	for _, i := range c.byHost[end.Host] {
 		r := &c.state[i]
 		about := r.Get("upstream")
-		if r.Time.Before(began) || r.Time.After(end.Time.Add(crashWindow)) || about != "" && about != upstream {
+		last := end.Time
+		if about != "" {
+			last = last.Add(crashWindow)
+		}
+		if r.Time.Before(began) || r.Time.After(last) || about != "" && about != upstream {
 			continue
 		}
 		out = append(out, Step{r.Time, r.Host, lineText(r)})
