--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -38,6 +38,10 @@
 		losses += s.Losses
 	}
 	t.Logf("attempts=%d losses=%d, bound 2", requestCount, losses)
+	if losses > 2 {
+		out, _ := c.runCtl(c.hosts[0], "timeline")
+		t.Log(out)
+	}
 	require.LessOrEqual(t, losses, 2)
 	completedBefore := l.completed()
 	c.eventually("other requests complete", func() bool { return l.completed() > completedBefore+10 })
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -281,6 +281,9 @@
 	} else {
 		delete(s.heldBackUntil, n.Fingerprint)
 	}
+	if s.upstream(n.Upstream) == nil {
+		n.Upstream = "" // a loss in another pool says nothing about the upstreams of this one
+	}
 	s.quarantine.ApplyNotice(now, n)
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,6 +29,9 @@
 type Notice struct {
 	Fingerprint uint64 `json:"fingerprint"`
 	Losses      int    `json:"losses"`
+	// Upstream is the upstream with which the latest run was lost; empty in notices of older
+	// daemons and of mass losses.
+	Upstream string `json:"upstream,omitempty"`
 	// Refused is set once the fingerprint must not run at all.
 	Refused bool `json:"refused,omitempty"`
 	// Cleared is set when the suspicion has proved unfounded.
@@ -54,6 +57,8 @@
 	lostAt   time.Time
 	upstream string
 	runs     []activeRun
+	// fromNotice is set while only another daemon's notice told of the loss.
+	fromNotice bool
 }
 
 func (l *loss) includes(fingerprint uint64) bool {
@@ -130,7 +135,7 @@
 		return nil
 	}
 	t.removeExpired(now)
-	t.recentLosses = append(t.recentLosses, loss{lostAt: now, upstream: upstream, runs: lostRuns})
+	t.addRecentLoss(now, upstream, lostRuns)
 	notices := t.revokeUnrelatedRefusals(now)
 	if t.countRecentlyLost() >= massLossThreshold {
 		notices = append(notices, t.handleMassLoss(now)...)
@@ -139,7 +144,7 @@
 		for _, r := range lostRuns {
 			if !seen[r.fingerprint] {
 				seen[r.fingerprint] = true
-				notices = append(notices, t.addLoss(now, r, len(lostRuns) == 1))
+				notices = append(notices, t.addLoss(now, upstream, r, len(lostRuns) == 1))
 			}
 		}
 	}
@@ -169,10 +174,37 @@
 	if t.countRecentlyLost() >= massLossThreshold {
 		return sortNotices(t.handleMassLoss(now))
 	}
-	return []Notice{t.addLoss(now, run, len(l.runs) == 1)}
+	return []Notice{t.addLoss(now, upstream, run, len(l.runs) == 1)}
 }
 
-func (t *Table) addLoss(now time.Time, r activeRun, onlyRun bool) Notice {
+// addRecentLoss records a loss, together with what other daemons have reported about it.
+func (t *Table) addRecentLoss(now time.Time, upstream string, runs []activeRun) {
+	added := loss{lostAt: now, upstream: upstream, runs: runs}
+	i := slices.IndexFunc(t.recentLosses, func(l loss) bool { return l.upstream == upstream && l.fromNotice })
+	if i >= 0 {
+		added.runs = append(slices.Clone(runs), t.recentLosses[i].runs...)
+		t.recentLosses = slices.Delete(t.recentLosses, i, i+1)
+	}
+	t.recentLosses = append(t.recentLosses, added)
+}
+
+// relateToLoss records that a run which another daemon had granted was lost with an upstream.
+// Without it the loss would count as unrelated to the run's fingerprint.
+func (t *Table) relateToLoss(now time.Time, fingerprint uint64, upstream string) {
+	t.removeExpired(now)
+	run := activeRun{fingerprint: fingerprint}
+	for i := range t.recentLosses {
+		if l := &t.recentLosses[i]; l.upstream == upstream {
+			if !l.includes(fingerprint) {
+				l.runs = append(l.runs, run)
+			}
+			return
+		}
+	}
+	t.recentLosses = append(t.recentLosses, loss{lostAt: now, upstream: upstream, runs: []activeRun{run}, fromNotice: true})
+}
+
+func (t *Table) addLoss(now time.Time, upstream string, r activeRun, onlyRun bool) Notice {
 	e := t.entryFor(now, r.fingerprint)
 	e.losses++
 	e.lastLossAt = now
@@ -180,7 +212,7 @@
 	if e.losses >= 2 && r.alone && onlyRun && !t.hasUnrelatedLoss(r.fingerprint) {
 		e.refuse(now)
 	}
-	return Notice{Fingerprint: r.fingerprint, Losses: e.losses, Refused: now.Before(e.refusedUntil)}
+	return Notice{Fingerprint: r.fingerprint, Losses: e.losses, Upstream: upstream, Refused: now.Before(e.refusedUntil)}
 }
 
 func (e *entry) refuse(now time.Time) {
@@ -260,6 +292,9 @@
 		e.losses, e.lastLossAt = n.Losses, now
 	}
 	e.suspectUntil = later(e.suspectUntil, now.Add(suspicionDuration))
+	if n.Losses > 0 && n.Upstream != "" {
+		t.relateToLoss(now, n.Fingerprint, n.Upstream)
+	}
 	if n.Broken {
 		return
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -22,7 +22,7 @@
 	q := New()
 	q.RecordDispatch(crashingFingerprint, "e1", false)
 	q.RecordDispatch(harmlessFingerprint, "e1", false)
-	require.Equal(t, []Notice{{Fingerprint: harmlessFingerprint, Losses: 1}, {Fingerprint: crashingFingerprint, Losses: 1}}, q.RecordLoss(t0, "e1", false))
+	require.Equal(t, []Notice{{Fingerprint: harmlessFingerprint, Losses: 1, Upstream: "e1"}, {Fingerprint: crashingFingerprint, Losses: 1, Upstream: "e1"}}, q.RecordLoss(t0, "e1", false))
 	require.True(t, q.ShouldIsolate(t0, crashingFingerprint))
 	require.False(t, isRefused(q, t0, crashingFingerprint))
 	q.RecordDispatch(harmlessFingerprint, "e2", true)
@@ -30,7 +30,7 @@
 	require.False(t, q.ShouldIsolate(t0, harmlessFingerprint))
 	now := t0.Add(time.Minute)
 	q.RecordDispatch(crashingFingerprint, "e2", true)
-	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Refused: true}}, q.RecordLoss(now, "e2", false))
+	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Upstream: "e2", Refused: true}}, q.RecordLoss(now, "e2", false))
 	refusedFor, refused := q.Refused(now, crashingFingerprint)
 	require.True(t, refused)
 	require.Equal(t, RefusalDuration, refusedFor)
@@ -113,10 +113,38 @@
 	q := New()
 	require.Empty(t, q.RecordLoss(t0, "e1", false))
 	now := t0.Add(500 * time.Millisecond)
-	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 1}}, q.RecordLateLoss(now, crashingFingerprint, "e1", false))
+	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 1, Upstream: "e1"}}, q.RecordLateLoss(now, crashingFingerprint, "e1", false))
 	require.Empty(t, q.RecordLateLoss(now, crashingFingerprint, "e1", false))
 	q.RecordDispatch(crashingFingerprint, "e2", true)
-	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Refused: true}}, q.RecordLoss(now, "e2", false))
+	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Upstream: "e2", Refused: true}}, q.RecordLoss(now, "e2", false))
+}
+
+// Guards against a crashing request that is not refused after its second loss, because the
+// owner of the pool saw the first one without it: the deputy had granted that run. The
+// deputy's notice may come before or after the owner's own report.
+func TestLossOfARunOfTheDeputyIsRelated(t *testing.T) {
+	for _, noticeFirst := range []bool{false, true} {
+		deputy, owner := New(), New()
+		deputy.RecordDispatch(crashingFingerprint, "e2", false)
+		deputy.RecordDispatch(harmlessFingerprint, "e2", false)
+		notices := deputy.RecordLoss(t0, "e2", false)
+		report := func() { require.Empty(t, owner.RecordLoss(t0, "e2", false)) }
+		if !noticeFirst {
+			report()
+		}
+		for _, n := range notices {
+			owner.ApplyNotice(t0.Add(100*time.Millisecond), n)
+		}
+		if noticeFirst {
+			report()
+		}
+		now := t0.Add(time.Second)
+		require.True(t, owner.ShouldIsolate(now, crashingFingerprint))
+		owner.RecordDispatch(crashingFingerprint, "e1", true)
+		owner.RecordLoss(now, "e1", false)
+		require.True(t, isRefused(owner, now, crashingFingerprint), "notice first: %t", noticeFirst)
+		require.False(t, isRefused(owner, now, harmlessFingerprint))
+	}
 }
 
 // Neither a planned stop nor runs that ended before a loss may raise suspicion.
