Confirm a held read at its end, so that hosts step in only when no reader reaches the store

Cause: a read that the store holds open for 0.9 s confirmed the table as of its start. Change: a read without changes that was held for its whole time confirms at the end of that time; hosts step in after 1.5 s, 0.1 s apart.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -311,7 +311,7 @@
 		defer cancel()
 		rows, newest, err := r.Store.Changes(changeCtx, r.Table.Name(), revision, changeWait)
 		if err == nil {
-			r.Table.Apply(rows, newest, startedAt)
+			r.Table.Apply(rows, newest, confirmationTime(startedAt, time.Now(), len(rows)))
 			return nil
 		}
 		if !errors.Is(err, ErrHistoryCompacted) {
@@ -328,6 +328,16 @@
 	return nil
 }
 
+// confirmationTime returns the latest time at which a read that started and ended at the given
+// times certainly showed the newest state. A read without changes that the store held for its
+// whole time showed the state at the end of that time.
+func confirmationTime(startedAt, endedAt time.Time, changes int) time.Time {
+	if changes == 0 && endedAt.Sub(startedAt) >= changeWait {
+		return startedAt.Add(changeWait)
+	}
+	return startedAt
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -98,3 +98,14 @@
 	_, confirmed, _ = table.Status()
 	require.Equal(t, now.Add(time.Second), confirmed)
 }
+
+// Guards against a table that looks old although the store has just confirmed it, so that
+// further hosts read the store, and against one that looks newer than it is.
+func TestConfirmationTime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	held := start.Add(changeWait)
+	require.Equal(t, held, confirmationTime(start, held.Add(5*time.Millisecond), 0))
+	require.Equal(t, held, confirmationTime(start, held.Add(time.Minute), 0), "the process was paused")
+	require.Equal(t, start, confirmationTime(start, held.Add(-time.Millisecond), 0), "the store did not hold the read")
+	require.Equal(t, start, confirmationTime(start, held.Add(time.Second), 1), "when the rows were read is not known")
+}
--- a/internal/frontend/readduty.go
+++ b/internal/frontend/readduty.go
@@ -6,10 +6,12 @@
 
 const (
 	// standbyReadAge is the age of the last confirmation by any reader after which other hosts
-	// start to read the store, one more per standbyReadStagger. The stagger limits the calls,
-	// which cost money and would all fail in an outage.
-	standbyReadAge     = 1200 * time.Millisecond
-	standbyReadStagger = 150 * time.Millisecond
+	// start to read the store, one more per standbyReadStagger. It is above the age that one
+	// regular reader leaves: the store holds a read for 0.9 s, the next follows after 0.15 s,
+	// and the hosts of a cell hear of it within 0.4 s. The stagger limits the calls, which cost
+	// money and would all fail in an outage.
+	standbyReadAge     = 1500 * time.Millisecond
+	standbyReadStagger = 100 * time.Millisecond
 	// readTerm is how long a host that has stepped in goes on reading. Then it pauses for
 	// standbyReadAge, so that it stops if the regular readers are back, or if several hosts
 	// have stepped in at once.
--- a/internal/frontend/readduty_test.go
+++ b/internal/frontend/readduty_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// Guards against hosts that step in although a regular reader reaches the store: its reads are
+// held open, and its confirmations take a round of messages to arrive.
+func TestNobodyStepsInForARegularReader(t *testing.T) {
+	const heldRead, pause, round = 900 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var duty readDuty
+	s := readSituation{now: now, startedAt: now.Add(-time.Hour), rank: 2, standbyRank: 0, readers: 1, known: true, confirmedAt: now.Add(-heldRead - pause - round)}
+	assert.False(t, duty.shouldRead(s))
+}
+
 // Guards against hosts that all read the store in an outage, which would cost calls that fail,
 // or that go on reading when the regular readers are back or when their reads fail.
 func TestFewHostsReadInAnOutage(t *testing.T) {
