--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -46,25 +46,22 @@
 // entry shows that the upstream ended.
 const crashWindow = 15 * time.Second
 
-// startWindow is the time after its start within which a host is still learning what to serve.
-const startWindow = 10 * time.Second
-
 // finding is what the logs show about one ended request.
 type finding struct {
-	c       *Collector
-	end     *Record
-	moves   []Record
-	outcome string
-	reason  string
-	upId    string
-	began   time.Time
-	because []string
+	c        *Collector
+	end      *Record
+	moves    []Record
+	outcome  string
+	reason   string
+	upstream string
+	began    time.Time
+	because  []string
 }
 
 // explainEnd derives the cause from the line with which a request ended and the lines about
 // its migrations.
 func (c *Collector) explainEnd(end *Record, moves []Record) Cause {
-	f := &finding{c: c, end: end, moves: moves, outcome: end.Get("outcome"), reason: end.Get("reason"), upId: end.Get("upstream"), began: end.Time.Add(-end.Millis("ms"))}
+	f := &finding{c: c, end: end, moves: moves, outcome: end.Get("outcome"), reason: end.Get("reason"), upstream: end.Get("upstream"), began: end.Time.Add(-end.Millis("ms"))}
 	cause := f.decide()
 	cause.Because = f.because
 	return cause
@@ -149,8 +146,8 @@
 	f.observe("the caller closed its connection after %s ms of %s ms", f.end.Get("ms"), f.end.Get("time-ms"))
 	if n := f.end.Int("events"); n > 0 {
 		f.observe("%d events had been sent, the first after %s ms", n, f.end.Get("first-event-ms"))
-	} else if f.upId != "" {
-		f.observe("upstream %s had not answered", f.upId)
+	} else if f.upstream != "" {
+		f.observe("upstream %s had not answered", f.upstream)
 	}
 	f.observeOthers()
 	return Cause{CallerGone, "the caller left before the answer was complete", nil, "if many leave before the first event, engines are crowded: add engines"}
@@ -183,7 +180,7 @@
 
 // broken explains a request whose upstream broke off.
 func (f *finding) broken() Cause {
-	f.observe("upstream %s broke off: %s", f.upId, f.reason)
+	f.observe("upstream %s broke off: %s", f.upstream, f.reason)
 	for i := range f.moves {
 		if m := &f.moves[i]; m.Get("destination") == "" {
 			f.observe("%s before the end a move from %s did not succeed: %s", f.before(m.Time), m.Get("source"), m.Get("outcome"))
@@ -243,28 +240,28 @@
 // observeUpstreamLeft reports whether the host knew, before the request ended, that its
 // upstream was leaving or gone.
 func (f *finding) observeUpstreamLeft() bool {
-	if f.upId == "" {
+	if f.upstream == "" {
 		return false
 	}
-	r := f.c.latest(f.end.Host, f.end.Time, func(r *Record) bool { return r.Get("upstream") == f.upId })
+	r := f.c.latest(f.end.Host, f.end.Time, func(r *Record) bool { return r.Get("upstream") == f.upstream })
 	switch {
 	case r == nil:
 		return false
 	case r.Message == "upstream registered" && r.Get("draining") != "true":
-		f.observe("upstream %s was registered %s before the end, in data centre %s", f.upId, f.before(r.Time), r.Get("data-centre"))
+		f.observe("upstream %s was registered %s before the end, in data centre %s", f.upstream, f.before(r.Time), r.Get("data-centre"))
 		return false
 	}
-	f.observe("the host learnt %s before the end: %s %s", f.before(r.Time), f.upId, describeUpstream(r))
+	f.observe("the host learnt %s before the end: %s %s", f.before(r.Time), f.upstream, describeUpstream(r))
 	return true
 }
 
 // observeUpstreamRemoved reports whether the upstream's entry was removed soon after the end.
 func (f *finding) observeUpstreamRemoved() bool {
-	if f.upId == "" {
+	if f.upstream == "" {
 		return false
 	}
 	r := f.c.earliest(f.end.Host, f.end.Time, func(r *Record) bool {
-		return r.Message == "upstream entry removed" && r.Get("upstream") == f.upId
+		return r.Message == "upstream entry removed" && r.Get("upstream") == f.upstream
 	})
 	if r == nil || r.Time.Sub(f.end.Time) > crashWindow {
 		return false
@@ -274,11 +271,11 @@
 }
 
 func (f *finding) observeOthers() tally {
-	if f.upId == "" {
+	if f.upstream == "" {
 		return tally{}
 	}
-	others := f.c.outcomesAround(f.upId, f.end.Time)
-	f.observe("within a second, %d requests ended at %s over all hosts, of which %d failed", others.ended, f.upId, others.failed)
+	others := f.c.outcomesAround(f.upstream, f.end.Time)
+	f.observe("within a second, %d requests ended at %s over all hosts, of which %d failed", others.ended, f.upstream, others.failed)
 	return others
 }
 
