--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -425,12 +425,12 @@
 				f.sendToAllNextRound()
 				evidenceSentAt = now
 			}
-			guard.Run(f.log, "housekeeping", func() { f.keepHouse(ctx, now) })
+			guard.Run(f.log, "housekeeping", func() { f.housekeepOnce(ctx, now) })
 		}
 	}
 }
 
-func (f *FrontEnd) keepHouse(ctx context.Context, now time.Time) {
+func (f *FrontEnd) housekeepOnce(ctx context.Context, now time.Time) {
 	f.catalog.EvictExpired(now)
 	f.rollouts.evaluate(ctx, now)
 	f.pool.CloseStale(now)
