Add a late run to the latest loss of its upstream

Cause: an engine that was lost twice within two seconds by the same request had its second loss taken for the first one, if the run's end was learnt late. Change: the latest recorded loss is used. Result: TestLateLossOfTheNextIncarnationCounts failed on the commit before by its rule (the first loss includes the request).

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -160,12 +160,11 @@
 // it knew that the run had been lost with it.
 func (t *Table) RecordLateLoss(now time.Time, fingerprint uint64, upstream string, alone bool) []Notice {
 	t.removeExpired(now)
-	i := slices.IndexFunc(t.recentLosses, func(l loss) bool { return l.upstream == upstream })
-	if i < 0 {
+	l := t.latestLoss(upstream)
+	if l == nil {
 		t.recentLosses = append(t.recentLosses, loss{lostAt: now, upstream: upstream})
-		i = len(t.recentLosses) - 1
+		l = &t.recentLosses[len(t.recentLosses)-1]
 	}
-	l := &t.recentLosses[i]
 	if l.includes(fingerprint) {
 		return nil
 	}
@@ -193,15 +192,22 @@
 func (t *Table) relateToLoss(now time.Time, fingerprint uint64, upstream string) {
 	t.removeExpired(now)
 	run := activeRun{fingerprint: fingerprint}
-	for i := range t.recentLosses {
-		if l := &t.recentLosses[i]; l.upstream == upstream {
-			if !l.includes(fingerprint) {
-				l.runs = append(l.runs, run)
-			}
-			return
+	switch l := t.latestLoss(upstream); {
+	case l == nil:
+		t.recentLosses = append(t.recentLosses, loss{lostAt: now, upstream: upstream, runs: []activeRun{run}, fromNotice: true})
+	case !l.includes(fingerprint):
+		l.runs = append(l.runs, run)
+	}
+}
+
+// latestLoss returns the latest recent loss of an upstream, or nil.
+func (t *Table) latestLoss(upstream string) *loss {
+	for i := len(t.recentLosses) - 1; i >= 0; i-- {
+		if t.recentLosses[i].upstream == upstream {
+			return &t.recentLosses[i]
 		}
 	}
-	t.recentLosses = append(t.recentLosses, loss{lostAt: now, upstream: upstream, runs: []activeRun{run}, fromNotice: true})
+	return nil
 }
 
 func (t *Table) addLoss(now time.Time, upstream string, r activeRun, onlyRun bool) Notice {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -119,6 +119,17 @@
 	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Upstream: "e2", Refused: true}}, q.RecordLoss(now, "e2", false))
 }
 
+// Guards against a second loss of the same upstream, within the time in which losses
+// coincide, that counts as the first one.
+func TestLateLossOfTheNextIncarnationCounts(t *testing.T) {
+	q := New()
+	q.RecordDispatch(crashingFingerprint, "e1", false)
+	q.RecordLoss(t0, "e1", false)
+	now := t0.Add(time.Second)
+	require.Empty(t, q.RecordLoss(now, "e1", false))
+	require.Equal(t, []Notice{{Fingerprint: crashingFingerprint, Losses: 2, Upstream: "e1", Refused: true}}, q.RecordLateLoss(now, crashingFingerprint, "e1", true))
+}
+
 // Guards against a crashing request that is not refused after its second loss, because the
 // owner of the pool saw the first one without it: the deputy had granted that run. The
 // deputy's notice may come before or after the owner's own report.
