--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -54,14 +54,13 @@
 	outcome  string
 	reason   string
 	upstream string
-	began    time.Time
 	because  []string
 }
 
 // explainEnd derives the cause from the line with which a request ended and the lines about
 // its migrations.
 func (c *Collector) explainEnd(end *Record, moves []Record) Cause {
-	f := &finding{c: c, end: end, moves: moves, outcome: end.Get("outcome"), reason: end.Get("reason"), upstream: end.Get("upstream"), began: end.Time.Add(-end.Millis("ms"))}
+	f := &finding{c: c, end: end, moves: moves, outcome: end.Get("outcome"), reason: end.Get("reason"), upstream: end.Get("upstream")}
 	cause := f.decide()
 	cause.Because = f.because
 	return cause
