--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +65,65 @@
 	}
 	require.GreaterOrEqual(t, undone, 18, "late faults must be detected in at least 18 of 20 runs; little traffic may hide some")
 }
+
+// Guards against a version that answers several times slower and takes over because few of
+// its requests have ended when the time limit expires.
+func TestSlowCanaryIsUndone(t *testing.T) {
+	c := Canary{Service: "s", Version: "v2", StartedAt: time.Unix(1000, 0), Duration: 15 * time.Second}
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		latency := func(slowdown float64) Outcome {
+			return Outcome{FirstToken: time.Duration(slowdown * math.Exp(0.5*random.NormFloat64()) * float64(600*time.Millisecond))}
+		}
+		requireUndone(t, seed, c, 16, func() Outcome { return latency(1) }, func() Outcome { return latency(8) })
+	}
+}
+
+// Guards against a version that takes over although nothing is known about it.
+func TestCanaryWithoutEvidenceIsUndone(t *testing.T) {
+	c := Canary{Service: "s", Version: "v2", StartedAt: time.Unix(1000, 0), Duration: 15 * time.Second}
+	counter, evidence := NewCounter("h1", "1"), NewEvidence()
+	for range 500 {
+		counter.Record(CanaryPercent, "r", false, Outcome{FirstToken: 30 * time.Millisecond})
+	}
+	evidence.Merge(counter.Report(true))
+	verdict := Verdict{}
+	for at := time.Duration(0); at <= c.Duration && verdict.Action == Continue; at += 250 * time.Millisecond {
+		verdict = JudgeCanary(c.StartedAt.Add(at), c, evidence)
+	}
+	require.Equal(t, Undo, verdict.Action, verdict.Reason)
+}
+
+// requireUndone simulates a canary whose outcomes are known when the first token arrives.
+func requireUndone(t *testing.T, seed uint64, c Canary, perSecond int, old, new func() Outcome) {
+	t.Helper()
+	type ended struct {
+		at    time.Duration
+		onNew bool
+		Outcome
+	}
+	random := rand.New(rand.NewPCG(seed, 4))
+	counter, evidence := NewCounter("h1", "1"), NewEvidence()
+	var running []ended
+	verdict := Verdict{}
+	const tick = 250 * time.Millisecond
+	for at := time.Duration(0); at <= c.Duration && verdict.Action == Continue; at += tick {
+		for range perSecond * int(tick) / int(time.Second) {
+			e := ended{onNew: random.Float64() < CanaryPercent/100.0, Outcome: old()}
+			if e.onNew {
+				e.Outcome = new()
+			}
+			e.at = at + e.FirstToken
+			running = append(running, e)
+		}
+		running = slices.DeleteFunc(running, func(e ended) bool {
+			if e.at <= at {
+				counter.Record(CanaryPercent, "r", e.onNew, e.Outcome)
+			}
+			return e.at <= at
+		})
+		evidence.Merge(counter.Report(true))
+		verdict = JudgeCanary(c.StartedAt.Add(at), c, evidence)
+	}
+	require.Equal(t, Undo, verdict.Action, "seed %d: %s", seed, verdict.Reason)
+}
