Complete a rollout only on evidence for the new version

Cause: at its time limit a canary was completed unless there was evidence against it. Slow requests gave none: their times counted at their end, those whose caller left or whose time was over never counted, and slow meant above twice the old version's 95th percentile, which any fault elsewhere raises. 5% of a quiet service are a dozen requests.

Change: a version takes over only if its own requests exclude that a quarter more of them fail or are slow; otherwise it is undone at 0.85 of its duration. The test compares with the median as well. A trial spends half of the exposure bound (rollout.share, rollout.slack) evenly until the decision, within the version's part of the upstreams; if these are full or still cold, requests of the trial run on the old version. Traffic moves when the store holds the phase, no longer when a host decides.

--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -54,7 +54,7 @@
 	defer r.mu.Unlock()
 	if t := r.active[o.Service]; t != nil && t.phase == catalog.RolloutRunning {
 		t.counter.Record(rollout.CanaryPercent, o.Route, o.Version == t.order.Version, rollout.Outcome{
-			Failed: o.Failed, FirstToken: o.TimeToFirst, MeanStep: o.MeanEventInterval,
+			Running: o.Running, Failed: o.Failed, FirstToken: o.TimeToFirst, MeanStep: o.MeanEventInterval,
 		})
 	}
 }
@@ -125,7 +125,8 @@
 			r.judge(t, now)
 			r.writePhase(ctx, t)
 		}
-		rules[service] = catalog.VersionRule{Version: order.Version, Share: t.requestShare(known), Exclusive: t.phase == catalog.RolloutCompleted}
+		// The upstreams of the old version stop when the store holds the phase, not before.
+		rules[service] = catalog.VersionRule{Version: order.Version, Share: r.requestShare(t, known, now), Exclusive: t.storedPhase == catalog.RolloutCompleted}
 	}
 	r.frontEnd.gateway.SetVersionRules(rules)
 }
@@ -167,15 +168,17 @@
 	case rollout.Undo:
 		t.phase = catalog.RolloutRolledBack
 	case rollout.Finish:
-		// Hosts that do not write the phase keep using the old version until the store
-		// holds the phase, which is when the upstreams of the old version stop.
-		if r.frontEnd.writesRolloutPhases(now) {
-			t.phase = catalog.RolloutCompleted
+		// Hosts that do not write the phase go on with the trial until the store holds it.
+		if !r.frontEnd.writesRolloutPhases(now) {
+			return
 		}
+		t.phase = catalog.RolloutCompleted
 	default:
 		return
 	}
-	r.frontEnd.log.Info("rollout judged", "service", t.order.Service, "version", t.order.Version, "verdict", verdict.Action.String(), "reason", verdict.Reason)
+	total := t.evidence.Total(rollout.CanaryPercent)
+	r.frontEnd.log.Info("rollout judged", "service", t.order.Service, "version", t.order.Version, "verdict", verdict.Action.String(),
+		"reason", verdict.Reason, "old", total.Old.String(), "new", total.New.String())
 }
 
 // writePhase starts a write of a changed phase to the store, if this host writes the phases and
@@ -198,21 +201,35 @@
 		// A failed write may still have been applied; the mirrored status will show it.
 		if err := r.frontEnd.writeStatus(ctx, status, expected); err != nil {
 			r.frontEnd.log.Info("rollout status not written", "service", status.Service, "phase", string(status.Phase), "error", err.Error())
-		} else {
-			r.frontEnd.log.Info("rollout status written", "service", status.Service, "version", status.Version, "phase", string(status.Phase))
+			return
 		}
+		r.frontEnd.log.Info("rollout status written", "service", status.Service, "version", status.Version, "phase", string(status.Phase))
+		r.mu.Lock()
+		t.storedPhase = status.Phase
+		r.mu.Unlock()
 	})
 }
 
-// requestShare returns the fraction of the service's requests that goes to the new version.
-func (t *activeRollout) requestShare(known bool) float64 {
-	switch {
-	case !known || t.phase == catalog.RolloutRolledBack:
+// requestShare returns the fraction of the service's requests that goes to the new version
+// until the store holds that it is completed.
+func (r *rollouts) requestShare(t *activeRollout, known bool, now time.Time) float64 {
+	if !known || t.phase == catalog.RolloutRolledBack {
 		return 0
-	case t.phase == catalog.RolloutCompleted:
-		return 1
 	}
-	return rollout.CanaryPercent / 100.0
+	service, f := t.order.Service, r.frontEnd
+	usable, onVersion := 0, 0
+	cat := f.gateway.Catalog()
+	for _, u := range cat.UpstreamsOfService(service) {
+		if !u.Expired && cat.Usable(u) {
+			usable++
+			if u.Version == t.order.Version {
+				onVersion++
+			}
+		}
+	}
+	bounds := rollout.ExposureBounds{Share: f.settings.Rollout.Share, Slack: f.settings.Rollout.Slack}
+	perSecond := f.gateway.RequestRate(service, now) * float64(f.liveHostCount())
+	return t.canary.RequestShare(bounds, perSecond, float64(onVersion)/float64(max(usable, 1)))
 }
 
 func (f *FrontEnd) writesRolloutPhases(now time.Time) bool {
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -20,6 +20,8 @@
 	Limits Limits        `yaml:"limits"`
 	Retry  Retry         `yaml:"retry"`
 	Drain  Drain         `yaml:"drain"`
+	// Rollout bounds what a version may receive before it is known to be good.
+	Rollout RolloutBounds `yaml:"rollout"`
 	// Policy is adaptive, or plain for the baseline: requests go to the upstream with the
 	// fewest open requests of this host, and streams do not migrate.
 	Policy string `yaml:"policy" validate:"oneof=adaptive plain"`
@@ -69,6 +71,13 @@
 	Window time.Duration `yaml:"window" validate:"gte=1s,lte=10m"`
 }
 
+// RolloutBounds bounds the requests of a version on trial over all hosts: Share of the
+// service's requests, plus Slack.
+type RolloutBounds struct {
+	Share float64 `yaml:"share" validate:"gte=0,lte=1"`
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+}
+
 // Drain bounds the draining of a host before a planned stop.
 type Drain struct {
 	// Limit is the time from the signal until the process is killed.
@@ -98,6 +107,7 @@
 		},
 		Retry:     Retry{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		Drain:     Drain{Limit: 8 * time.Second},
+		Rollout:   RolloutBounds{Share: 0.1, Slack: 50},
 		Directory: Directory{Validity: 2 * time.Second},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,8 @@
 	// PlainPolicy selects the baseline: the upstream with the fewest open requests of
 	// this host, and no migrations.
 	PlainPolicy bool
-	// OnOutcome is called for each request that an upstream ran.
+	// OnOutcome is called with what a request shows about the upstream that runs it, in up
+	// to three parts: when its response begins, while it streams, and when it ends.
 	OnOutcome func(Outcome)
 	// AnnounceNotices sends new leave notices to the other hosts at once. ScheduleReport
 	// makes the next regular message go to all hosts, also those of other cells.
@@ -62,12 +63,13 @@
 	Log     logr.Logger
 }
 
-// Outcome describes how a request ran at an upstream.
+// Outcome describes how a request runs at an upstream.
 type Outcome struct {
 	Service, Version, Route string
-	Failed                  bool
-	// TimeToFirst is the time to the response or to the first event; 0 is unknown.
-	// MeanEventInterval is the mean time between the events of a stream.
+	// Running is set while the request has not ended; Failed is then not known.
+	Running, Failed bool
+	// TimeToFirst is the time to the response or to the first event; 0 is unknown or
+	// reported already. MeanEventInterval is the mean time between the events of a stream.
 	TimeToFirst, MeanEventInterval time.Duration
 }
 
@@ -139,6 +141,11 @@
 	g.retryLimiter.SetBounds(ratio, slack, window)
 }
 
+// RequestRate returns the callers' requests per second to a service at this host.
+func (g *Gateway) RequestRate(service string, now time.Time) float64 {
+	return g.retryLimiter.RequestRate(service, now)
+}
+
 // SetVersionRules replaces the rules that divide requests between versions, by service.
 func (g *Gateway) SetVersionRules(rules map[string]catalog.VersionRule) { g.versionRules.Store(&rules) }
 
@@ -172,6 +179,8 @@
 	triedUpstreams                    []string
 	// fingerprint identifies equal requests of an account.
 	fingerprint uint64
+	// run is the report of the latest run.
+	run *runReport
 	// streamLoad is the load that a stream currently puts on its upstream.
 	streamLoad balance.Load
 	// releaseBodies free the room of the buffered responses once the request has ended.
@@ -370,12 +379,25 @@
 }
 
 // chooseUpstream selects an upstream for a request that is expected to hold the given
-// tokens of memory, or returns nil. It considers, in this order: healthy engines of this
-// host's cell, if the site is divided into cells; a random part of the healthy
-// upstreams, if there are many hosts; all upstreams. The plain policy always considers
-// all.
+// tokens of memory, or returns nil. A request of a version on trial runs on another
+// version if no upstream of its own has capacity.
 func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, request string, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
-	versionAllowed := g.allowedVersions(service.Name, request)
+	versionAllowed, onTrial := g.allowedVersions(service.Name, request)
+	u := g.chooseOfVersion(cat, service, versionAllowed, tokens, triedUpstreams, now)
+	if onTrial && (u == nil || !g.hasRoom(u, service, tokens, now)) {
+		otherVersion := func(version string) bool { return !versionAllowed(version) }
+		if other := g.chooseOfVersion(cat, service, otherVersion, tokens, triedUpstreams, now); other != nil {
+			return other
+		}
+	}
+	return u
+}
+
+// chooseOfVersion selects an upstream of the allowed versions. It considers, in this
+// order: healthy engines of this host's cell, if the site is divided into cells; a random
+// part of the healthy upstreams, if there are many hosts; all upstreams. The plain policy
+// always considers all.
+func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
 	isUsable := func(u *catalog.Upstream) bool {
 		return cat.Usable(u) && versionAllowed(u.Version) && !slices.Contains(triedUpstreams, u.ID)
 	}
@@ -449,18 +471,18 @@
 const shareResolution = 10_000
 
 // allowedVersions returns a function that reports whether a version may serve the
-// request. The result is the same on every host.
-func (g *Gateway) allowedVersions(service, request string) func(version string) bool {
+// request, and whether the request is one of those on which a version is tried.
+func (g *Gateway) allowedVersions(service, request string) (allowed func(version string) bool, onTrial bool) {
 	rules := g.versionRules.Load()
 	if rules == nil {
-		return func(string) bool { return true }
+		return func(string) bool { return true }, false
 	}
 	rule, ok := (*rules)[service]
 	if !ok {
-		return func(string) bool { return true }
+		return func(string) bool { return true }, false
 	}
-	useRuleVersion := rule.Exclusive || float64(retry.Hash(request+rule.Version)%shareResolution) < rule.Share*shareResolution
-	return func(version string) bool { return (version == rule.Version) == useRuleVersion }
+	onTrial = !rule.Exclusive && float64(retry.Hash(request+rule.Version)%shareResolution) < rule.Share*shareResolution
+	return func(version string) bool { return (version == rule.Version) == (rule.Exclusive || onTrial) }, onTrial
 }
 
 func (g *Gateway) newCandidate(u *catalog.Upstream, service *catalog.Service, v balance.View) balance.Candidate {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -90,7 +90,6 @@
 
 // sendPlain forwards the request to an upstream and reads the complete response.
 func (c *call) sendPlain(u *catalog.Upstream) (*bufferedResponse, exchangeResult, error) {
-	startedAt := time.Now()
 	load := balance.Load{Requests: 1}
 	c.g.LoadTracker.AddLoad(u.ID, load)
 	defer c.g.LoadTracker.RemoveLoad(u.ID, load)
@@ -105,7 +104,7 @@
 		c.recordLostRun(u)
 		return nil, mayHaveRun, err
 	}
-	c.reportOutcome(u, response.Status >= http.StatusInternalServerError, time.Since(startedAt), 0)
+	c.run.recordEnd(response.Status >= http.StatusInternalServerError, time.Now())
 	if response.Status < http.StatusInternalServerError {
 		c.g.LoadTracker.RecordSuccess(u.ID)
 		c.g.suspects.Clear(c.fingerprint)
@@ -121,6 +120,7 @@
 	now := time.Now()
 	d.Upstream, d.Account, d.Remaining = u, c.account, c.remaining(now)
 	c.sends++
+	c.startRun(u, d)
 	c.logEntry.upstream = u.ID
 	response, err := c.g.Pool.Do(c.ctx, u.Address, &hop.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.info.ID,
@@ -185,17 +185,19 @@
 		return notRun
 	}
 	c.attempts++
-	if c.ctx.Err() == nil {
-		c.recordLostRun(u)
-	}
+	c.recordLostRun(u)
 	return mayHaveRun
 }
 
 // recordLostRun records that an upstream failed while it may have been running the
-// request.
+// request, unless the caller left or the time of the request was over.
 func (c *call) recordLostRun(u *catalog.Upstream) {
 	now := time.Now()
-	c.reportOutcome(u, true, 0, 0)
+	if c.ctx.Err() != nil {
+		c.run.recordAbandoned(now)
+		return
+	}
+	c.run.recordEnd(true, now)
 	c.g.LoadTracker.RecordFailure(u.ID, now)
 	if current := c.g.Catalog().Upstreams[u.ID]; current != nil && !current.Draining {
 		c.g.suspects.RecordLoss(c.fingerprint, now)
@@ -203,13 +205,6 @@
 	}
 }
 
-// reportOutcome reports how the request ran, for the comparison of versions in rollouts.
-func (c *call) reportOutcome(u *catalog.Upstream, failed bool, timeToFirst, meanEventInterval time.Duration) {
-	c.g.OnOutcome(Outcome{
-		Service: c.service.Name, Version: u.Version, Route: c.route.Name, Failed: failed, TimeToFirst: timeToFirst, MeanEventInterval: meanEventInterval,
-	})
-}
-
 // writeResponse writes an upstream's response to the caller without changes.
 func (c *call) writeResponse(a *bufferedResponse) {
 	copyHeader(c.w.Header(), a.header)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -248,7 +248,7 @@
 		c.recordLostRun(u)
 		return mayHaveRun, err
 	}
-	c.reportOutcome(u, true, 0, 0)
+	c.run.recordEnd(true, time.Now())
 	c.g.LoadTracker.RecordFailure(u.ID, time.Now())
 	if c.mayRunAgain() || c.logEntry.events > 0 {
 		return mayHaveRun, errors.New("upstream failed with status " + strconv.Itoa(response.Status))
@@ -282,6 +282,9 @@
 			c.logEntry.status, c.logEntry.timeToFirstEvent = response.Status, time.Since(c.startedAt)
 		}
 		c.logEntry.events++
+		if e.hasData {
+			c.run.recordEvent(time.Now())
+		}
 		c.markPromptProcessed(u)
 		if e.hasData { // comments do not show that the run goes on
 			c.limitSilence(response)
@@ -327,26 +330,17 @@
 		c.logEntry.status = response.Status
 	}
 	c.logEntry.outcome = "answered"
-	c.reportStreamOutcome(u)
+	c.run.recordEnd(false, time.Now())
 	c.g.LoadTracker.RecordSuccess(u.ID)
 	c.g.suspects.Clear(c.fingerprint)
 	return responseReceived, nil
 }
 
-// reportStreamOutcome reports the outcome of a complete stream. Migrated streams are
-// left out, because their times do not describe a single upstream.
-func (c *call) reportStreamOutcome(u *catalog.Upstream) {
-	if c.logEntry.migrations > 0 || c.logEntry.events == 0 {
-		return
-	}
-	afterFirstEvent := time.Since(c.startedAt) - c.logEntry.timeToFirstEvent
-	c.reportOutcome(u, false, c.logEntry.timeToFirstEvent, afterFirstEvent/time.Duration(c.logEntry.events))
-}
-
 // classifyBrokenStream handles a stream that ended early. The loss is recorded unless
 // the caller's time is over or the run was stopped for a migration.
 func (c *call) classifyBrokenStream(s *stream, u *catalog.Upstream, err error) (exchangeResult, error) {
 	if c.ctx.Err() != nil {
+		c.run.recordAbandoned(time.Now())
 		return mayHaveRun, context.Cause(c.ctx)
 	}
 	if !s.isMigrating() {
--- a/internal/retry/windows.go
+++ b/internal/retry/windows.go
@@ -32,8 +32,10 @@
 // serviceWindow counts the requests and retries of one service in a ring of buckets.
 type serviceWindow struct {
 	currentBucket int64
-	requests      [bucketsPerWindow]int
-	retries       [bucketsPerWindow]int
+	// firstBucket is the bucket of the first request.
+	firstBucket int64
+	requests    [bucketsPerWindow]int
+	retries     [bucketsPerWindow]int
 }
 
 // NewWindowLimiter returns a limiter that allows no retries until SetBounds is called.
@@ -54,7 +56,7 @@
 	s := w.windows[service]
 	index := now.UnixNano() / int64(w.bucketDuration)
 	if s == nil {
-		s = &serviceWindow{currentBucket: index}
+		s = &serviceWindow{currentBucket: index, firstBucket: index}
 		w.windows[service] = s
 	}
 	for s.currentBucket < index {
@@ -75,6 +77,20 @@
 	s.requests[s.currentBucket%bucketsPerWindow]++
 }
 
+// RequestRate returns the callers' requests per second to a service at this host, over the
+// window.
+func (w *WindowLimiter) RequestRate(service string, now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.currentWindow(service, now)
+	requests := 0
+	for i := range bucketsPerWindow {
+		requests += s.requests[i]
+	}
+	counted := min(s.currentBucket-s.firstBucket+1, bucketsPerWindow)
+	return float64(requests) / (time.Duration(counted) * w.bucketDuration).Seconds()
+}
+
 // Allow reports whether this host may retry a request now, and counts the retry.
 func (w *WindowLimiter) Allow(service string, now time.Time, hosts int) bool {
 	w.mu.Lock()
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -1,36 +1,60 @@
 package rollout
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/entity"
 )
 
 const (
-	// CanaryPercent is the percentage of requests that a canary receives. Operators allow
-	// at most 10%; the margin covers that hosts assign requests independently.
+	// CanaryPercent is the step under which the outcomes of a canary are counted.
 	CanaryPercent = 5
 	// canaryMaxErrorIncrease and canaryMaxSlowdown are the increase of the failure rate
 	// and the slowdown above which a canary is undone. Bad versions fail a portion of
 	// their requests or take several times as long.
 	canaryMaxErrorIncrease = 0.05
 	canaryMaxSlowdown      = 2.0
+	// grossIncrease is the increase of the rate of failed or slow requests that the
+	// evidence must exclude before a version takes over.
+	grossIncrease = 0.25
+	// exposureFraction is the part of the exposure bound that a canary uses. The rest is a
+	// margin because hosts assign requests independently.
+	exposureFraction = 0.5
 	// acceptedFinishFraction is the fraction of the duration after which an accepted
 	// version takes over. Faults that appear before then affect a small share only.
 	acceptedFinishFraction = 0.7
-	// forcedFinishFraction is the fraction of the duration after which a version
-	// takes over unless there is evidence against it.
-	forcedFinishFraction = 0.85
+	// latestFinishFraction is the fraction of the duration at which a version takes over or
+	// is undone for lack of evidence.
+	latestFinishFraction = 0.85
 )
 
-// Canary is a rollout in which the new version receives CanaryPercent of the requests
-// until it takes over all of them in one step.
+// Canary is a rollout in which the new version receives a small share of the requests
+// until it takes over all of them in one step. Since that step is final, it needs
+// evidence for the version, not only a lack of evidence against it.
 type Canary struct {
 	Service, Version string
 	StartedAt        time.Time
 	Duration         time.Duration
 }
 
+// ExposureBounds is the number of requests that a version may receive before it is known
+// to be good: Share of all requests, plus Slack.
+type ExposureBounds struct{ Share, Slack float64 }
+
+// RequestShare returns the fraction of the service's requests that the canary receives.
+// At perSecond requests a second over all hosts it spends the slack evenly until the
+// decision, so that services with little traffic provide enough evidence as well.
+// capacity is the fraction of the service's upstreams that run the version, which bounds
+// the share so that load alone does not make the version slow.
+func (c Canary) RequestShare(bounds ExposureBounds, perSecond, capacity float64) float64 {
+	share := exposureFraction * bounds.Share
+	if requests := perSecond * fractionOf(c.Duration, acceptedFinishFraction).Seconds(); requests > 0 {
+		share += exposureFraction * bounds.Slack / requests
+	}
+	return min(share, capacity)
+}
+
 // JudgeCanary returns Continue, Finish or Undo for a canary. The result depends on
 // its arguments only.
 func JudgeCanary(now time.Time, c Canary, e *Evidence) Verdict {
@@ -42,17 +66,39 @@
 	}}
 	elapsed := now.Sub(c.StartedAt)
 	verdict := Judge(now, running, service, e)
-	switch {
-	case verdict.Action == Undo:
+	if verdict.Action == Undo {
 		return verdict
-	case elapsed >= fractionOf(c.Duration, forcedFinishFraction):
-		return Verdict{Action: Finish, Reason: "no evidence against the version near the end of its duration"}
-	case verdict.Action == Step && elapsed >= fractionOf(c.Duration, acceptedFinishFraction):
-		return Verdict{Action: Finish, Reason: verdict.Reason}
+	}
+	missing := missingProof(e.Total(CanaryPercent), service.Rollout)
+	switch {
+	case elapsed < fractionOf(c.Duration, acceptedFinishFraction):
+		return Verdict{}
+	case missing == "":
+		return Verdict{Action: Finish, Reason: "the evidence excludes a version that often fails or is slow"}
+	case elapsed >= fractionOf(c.Duration, latestFinishFraction):
+		return Verdict{Action: Undo, Reason: missing}
 	}
 	return Verdict{}
 }
 
+// missingProof returns which evidence for the new version is missing, or "" if it may take
+// over. A service without requests needs none.
+func missingProof(total Comparison, policy entity.RolloutPolicy) string {
+	if total.Old.ended()+total.New.ended() == 0 {
+		return ""
+	}
+	for _, s := range [...]statistic{failures, typicalFirstTokens, typicalSteps} {
+		pair := samplePairOf(s, &total, policy)
+		if s != failures && pair.old.total == 0 {
+			continue // plain services have no tokens, and a quiet service has no median
+		}
+		if x := pair.grossLogRatio(); x > acceptBound {
+			return fmt.Sprintf("too few good requests of the version to exclude %s (evidence %.1f, bound %.1f)", s, x, acceptBound)
+		}
+	}
+	return ""
+}
+
 func fractionOf(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -127,3 +127,19 @@
 	}
 	require.Equal(t, Undo, verdict.Action, "seed %d: %s", seed, verdict.Reason)
 }
+
+// Guards against a trial that exceeds the exposure bound, and against one on a quiet
+// service that ends without evidence.
+func TestRequestShareStaysWithinExposureBounds(t *testing.T) {
+	c := Canary{Duration: 15 * time.Second}
+	bounds := ExposureBounds{Share: 0.1, Slack: 50}
+	for _, perSecond := range []float64{0, 0.5, 5, 16, 40, 500} {
+		share := c.RequestShare(bounds, perSecond, 1)
+		total := perSecond * c.Duration.Seconds()
+		require.LessOrEqual(t, share*total, bounds.Share*total+bounds.Slack, "at %v requests a second", perSecond)
+		if perSecond >= 5 {
+			require.Greater(t, share*perSecond*acceptedFinishFraction*c.Duration.Seconds(), 20.0, "at %v requests a second", perSecond)
+		}
+	}
+	require.Equal(t, 0.25, c.RequestShare(bounds, 1, 0.25), "upstreams of the version are a quarter of all")
+}
--- a/internal/rollout/counter.go
+++ b/internal/rollout/counter.go
@@ -1,10 +1,15 @@
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
-// Outcome is the result of one finished request, as evidence about its version.
+// Outcome is what one request shows about its version.
 type Outcome struct {
 	Failed bool
+	// Running is set while the request has not ended: only its times are counted.
+	Running bool
 	// FirstToken is the time to the first token, MeanStep the mean time between tokens.
 	// Both are 0 when unknown, as in plain services.
 	FirstToken time.Duration
@@ -20,9 +25,11 @@
 }
 
 func (c *Counts) add(o Outcome) {
-	if o.Failed {
+	switch {
+	case o.Running:
+	case o.Failed:
 		c.Failure++
-	} else {
+	default:
 		c.Success++
 	}
 	if o.FirstToken > 0 {
@@ -33,6 +40,21 @@
 	}
 }
 
+// ended returns the number of requests that have ended.
+func (c *Counts) ended() uint64 { return c.Success + c.Failure }
+
+// String returns the counts for a log line.
+func (c *Counts) String() string {
+	median := func(h *Histogram) time.Duration {
+		if n := h.count(); n > 0 {
+			return bucketLimit(h.quantileBucket(0.5, n))
+		}
+		return 0
+	}
+	return fmt.Sprintf("succeeded:%d failed:%d first-tokens:%d/%v steps:%d/%v", c.Success, c.Failure,
+		c.FirstToken.count(), median(&c.FirstToken), c.Step.count(), median(&c.Step))
+}
+
 func (c *Counts) plus(o *Counts) {
 	c.Success += o.Success
 	c.Failure += o.Failure
--- a/internal/rollout/histogram.go
+++ b/internal/rollout/histogram.go
@@ -30,6 +30,11 @@
 	return min(int(math.Log2(float64(d)/float64(firstBucketLimit))*bucketsPerDoubling), buckets-1)
 }
 
+// bucketLimit is the upper limit of the durations in a bucket.
+func bucketLimit(bucket int) time.Duration {
+	return time.Duration(float64(firstBucketLimit) * math.Exp2(float64(bucket+1)/bucketsPerDoubling)).Round(firstBucketLimit)
+}
+
 func (h *Histogram) count() (n uint64) {
 	for _, c := range h {
 		n += uint64(c)
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -22,6 +22,9 @@
 	// requests latencies are not compared and the failure rate of all steps is used.
 	minBaseline  = 50
 	slowQuantile = 0.95
+	// minMedianBaseline is the number of requests of the old version that is needed to take
+	// a median.
+	minMedianBaseline = 20
 	// maxRate limits hypothetical rates, because a rate of 1 has no finite log-likelihood.
 	maxRate = 0.99
 )
@@ -33,11 +36,16 @@
 	failures statistic = iota
 	slowFirstTokens
 	slowSteps
+	// The typical statistics compare with the median instead of the 95th percentile. A
+	// few very slow requests of the old version, as during a fault elsewhere, raise the
+	// percentile far above anything that a slow version does.
+	typicalFirstTokens
+	typicalSteps
 	statistics // the number of statistics
 )
 
 func (s statistic) String() string {
-	return [...]string{"failures", "slow first tokens", "slow steps"}[s]
+	return [...]string{"failures", "slow first tokens", "slow steps", "first tokens above its median", "steps above its median"}[s]
 }
 
 // sample counts requests; bad is the number of those that failed or were slow.
@@ -47,15 +55,19 @@
 type samplePair struct{ old, new sample }
 
 // samplePairOf reduces counts to the samples of one statistic. A request is slow above
-// MaxSlowdown times the old version's 95th percentile of the same period, so that the
-// limit rises with a load that slows both versions. Without enough requests for a
+// MaxSlowdown times a quantile of the old version in the same period, so that the limit
+// rises with a load that slows both versions. Without enough requests for a
 // percentile the pair is empty and has no influence on the decision.
 func samplePairOf(s statistic, c *Comparison, policy entity.RolloutPolicy) samplePair {
 	switch s {
 	case slowFirstTokens:
-		return slowSamplePair(&c.Old.FirstToken, &c.New.FirstToken, policy.MaxSlowdown)
+		return slowSamplePair(&c.Old.FirstToken, &c.New.FirstToken, slowQuantile, minBaseline, policy.MaxSlowdown)
 	case slowSteps:
-		return slowSamplePair(&c.Old.Step, &c.New.Step, policy.MaxSlowdown)
+		return slowSamplePair(&c.Old.Step, &c.New.Step, slowQuantile, minBaseline, policy.MaxSlowdown)
+	case typicalFirstTokens:
+		return slowSamplePair(&c.Old.FirstToken, &c.New.FirstToken, 0.5, minMedianBaseline, policy.MaxSlowdown)
+	case typicalSteps:
+		return slowSamplePair(&c.Old.Step, &c.New.Step, 0.5, minMedianBaseline, policy.MaxSlowdown)
 	}
 	return samplePair{
 		old: sample{float64(c.Old.Failure), float64(c.Old.Failure + c.Old.Success)},
@@ -63,13 +75,13 @@
 	}
 }
 
-func slowSamplePair(old, new *Histogram, maxSlowdown float64) samplePair {
+func slowSamplePair(old, new *Histogram, quantile float64, minOld uint64, maxSlowdown float64) samplePair {
 	n := old.count()
-	if n < minBaseline {
+	if n < minOld {
 		return samplePair{}
 	}
 	// Rounding up to a whole bucket raises the limit, which favours the new version.
-	bound := old.quantileBucket(slowQuantile, n) + int(math.Ceil(math.Log2(maxSlowdown)*bucketsPerDoubling))
+	bound := old.quantileBucket(quantile, n) + int(math.Ceil(math.Log2(maxSlowdown)*bucketsPerDoubling))
 	return samplePair{
 		old: sample{float64(old.countAbove(bound)), float64(n)},
 		new: sample{float64(new.countAbove(bound)), float64(new.count())},
@@ -118,6 +130,17 @@
 	return logLikelihoodRatio(pair.new, p0, min(p0+increase, maxRate))
 }
 
+// grossLogRatio returns the log-likelihood ratio of a gross increase against no increase.
+func (pair samplePair) grossLogRatio() float64 {
+	rate := (pair.old.bad + 0.5) / (pair.old.total + 1)
+	p0 := min(rate+tolerance, maxRate-grossIncrease)
+	return logLikelihoodRatio(pair.new, p0, p0+grossIncrease)
+}
+
+// acceptBound is Wald's lower bound, as a logarithm: evidence below it accepts the new
+// version.
+var acceptBound = math.Log(beta / (1 - alpha))
+
 // bounds are the decision thresholds of the test, as logarithms of evidence.
 type bounds struct {
 	// pooled and late undo the rollout: pooled applies to the evidence since the start of
@@ -138,6 +161,6 @@
 	pooled := math.Log((1 - beta) / alphaShare)
 	return bounds{
 		pooled: pooled, late: pooled + startCorrection, routePooled: pooled + routeCorrection, routeLate: pooled + routeCorrection + startCorrection,
-		accept: math.Log(beta / (1 - alpha)), overdueUndo: -math.Log(beta), routeOverdueUndo: -math.Log(beta) + routeCorrection,
+		accept: acceptBound, overdueUndo: -math.Log(beta), routeOverdueUndo: -math.Log(beta) + routeCorrection,
 	}
 }
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -222,7 +222,7 @@
 // statistic that has data, and no route has evidence beyond the overdue-undo bound.
 func (ev *evaluation) stepAccepted() bool {
 	total := ev.evidence.Total(ev.rollout.Step)
-	for s := range statistics {
+	for s := range typicalFirstTokens { // the typical statistics can only undo a rollout
 		pair := ev.samplePair(allRoutes, s, &total)
 		if s != failures && (pair.new.total == 0 || pair.old.total == 0) {
 			continue // a plain service has no tokens; at 100% there is no baseline
@@ -253,7 +253,8 @@
 }
 
 func (ev *evaluation) evidenceIsAgainst() bool {
-	for _, x := range ev.pooled(allRoutes).policyLogRatio {
+	sums := ev.pooled(allRoutes)
+	for _, x := range sums.policyLogRatio[:typicalFirstTokens] {
 		if x > 0 {
 			return true
 		}
