Count the rollout evidence of hosts that restart

Cause: evidence was identified by host and order. The counts of a restarted host begin at zero with a low sequence number, so the others ignored its reports until it had sent as many as its previous process; the verdict on a bad version came later for that time.

Change: the source of evidence is the process. TestEvidenceOfARestartedHostCounts failed before with 20 of 25 outcomes.

--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -95,17 +95,23 @@
 			continue
 		}
 		// Evidence on an earlier or later order of the same service is ignored.
-		if report.Incarnation == r.evidenceIncarnation(t.order) {
+		if report.Incarnation == evidenceIncarnation(t.order) {
 			t.evidence.Merge(report)
 		}
 	}
 }
 
 // evidenceIncarnation identifies the evidence on one order of a service.
-func (r *rollouts) evidenceIncarnation(order catalog.Rollout) string {
+func evidenceIncarnation(order catalog.Rollout) string {
 	return strconv.FormatUint(order.Revision, 10)
 }
 
+// evidenceSource identifies this process. A host that restarts counts from zero, and the
+// counts of its previous process stay valid.
+func (f *FrontEnd) evidenceSource() string {
+	return f.settings.Host.Name + "/" + strconv.FormatInt(f.startedAt.UnixMilli(), 36)
+}
+
 // evaluate updates the phases of the ordered rollouts and sets the resulting version rules.
 func (r *rollouts) evaluate(ctx context.Context, now time.Time) {
 	orders := r.frontEnd.gateway.Catalog().Rollouts
@@ -138,7 +144,7 @@
 	}
 	t = &activeRollout{
 		order: order, phase: catalog.RolloutRunning, evidence: rollout.NewEvidence(),
-		counter: rollout.NewCounter(r.frontEnd.settings.Host.Name, r.evidenceIncarnation(order)),
+		counter: rollout.NewCounter(r.frontEnd.evidenceSource(), evidenceIncarnation(order)),
 		canary:  rollout.Canary{Service: order.Service, Version: order.Version, StartedAt: now, Duration: order.Duration},
 	}
 	r.active[order.Service] = t
--- /dev/null
+++ b/internal/frontend/rollouts_test.go
@@ -0,0 +1,45 @@
+package frontend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/gateway"
+	"github.com/rattanscale/rattanscale/internal/rollout"
+	"github.com/rattanscale/rattanscale/internal/settings"
+)
+
+var testOrder = catalog.Rollout{Service: "orders", Version: "v2", Duration: 15 * time.Second, Revision: 7}
+
+// newTestRollouts returns the rollouts of one process of a host that knows testOrder.
+func newTestRollouts(host string, startedAt time.Time) *rollouts {
+	f := &FrontEnd{settings: &Settings{Host: settings.Host{Name: host}}, log: logr.Discard(), startedAt: startedAt}
+	r := newRollouts(f)
+	r.activate(testOrder, startedAt)
+	return r
+}
+
+func recordOutcomes(r *rollouts, n int) {
+	for range n {
+		r.recordOutcome(gateway.Outcome{Service: testOrder.Service, Version: testOrder.Version, Route: "r", Failed: true})
+	}
+}
+
+// Guards against outcomes that are ignored because the host that counted them has restarted.
+func TestEvidenceOfARestartedHostCounts(t *testing.T) {
+	receiver, start := newTestRollouts("h1", time.Unix(1000, 0)), time.Unix(1000, 0)
+	before := newTestRollouts("h2", start)
+	for range 20 {
+		recordOutcomes(before, 1)
+		receiver.mergeEvidence(before.encodeEvidence())
+	}
+	after := newTestRollouts("h2", start.Add(5*time.Second))
+	recordOutcomes(after, 5)
+	receiver.mergeEvidence(after.encodeEvidence())
+	total := receiver.active[testOrder.Service].evidence.Total(rollout.CanaryPercent)
+	require.EqualValues(t, 25, total.New.Failure)
+}
