Tell all hosts of a verdict against a version at once

Cause: each host judged for itself from evidence that comes once a second and may be lost; a verdict was known to its host only until it was in the store.

Change: reports carry the verdict, and it is sent when it is reached. A host adopts a verdict on the same order. TestVerdictOfOneHostStopsAll needs the new field and did not compile before.

--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -42,6 +42,8 @@
 	phase, storedPhase catalog.RolloutPhase
 	// statusRevision is the revision of the status row, 0 if there is none.
 	statusRevision uint64
+	// undoReason is why this host or another one has judged the version as bad.
+	undoReason string
 }
 
 func newRollouts(f *FrontEnd) *rollouts {
@@ -70,6 +72,7 @@
 	for service, t := range r.active {
 		report := t.counter.Report(true)
 		t.evidence.Merge(report)
+		report.Undone = t.undoReason
 		data, err := json.Marshal(report)
 		if err != nil {
 			r.frontEnd.log.Error(err, "evidence could not be encoded", "service", service)
@@ -95,8 +98,12 @@
 			continue
 		}
 		// Evidence on an earlier or later order of the same service is ignored.
-		if report.Incarnation == evidenceIncarnation(t.order) {
-			t.evidence.Merge(report)
+		if report.Incarnation != evidenceIncarnation(t.order) {
+			continue
+		}
+		t.evidence.Merge(report)
+		if report.Undone != "" && t.phase == catalog.RolloutRunning {
+			r.undo(t, report.Undone, report.Daemon)
 		}
 	}
 }
@@ -112,6 +119,25 @@
 	return f.settings.Host.Name + "/" + strconv.FormatInt(f.startedAt.UnixMilli(), 36)
 }
 
+// announceVerdict sends the verdicts to the other hosts at once.
+func (r *rollouts) announceVerdict() {
+	f := r.frontEnd
+	// Composing the message takes the lock that the caller holds.
+	go guard.Run(f.log, "announcement of a verdict", func() {
+		f.gossip.SendFullNext()
+		f.announce()
+	})
+}
+
+// undo stops sending to the version. The other hosts hear of it at once: one host may reach
+// the verdict seconds before the others do, if evidence is lost on the way.
+func (r *rollouts) undo(t *activeRollout, reason, judgedBy string) {
+	t.phase, t.undoReason = catalog.RolloutRolledBack, reason
+	total := t.evidence.Total(rollout.CanaryPercent)
+	r.frontEnd.log.Info("rollout judged", "service", t.order.Service, "version", t.order.Version, "verdict", rollout.Undo.String(),
+		"reason", reason, "judged-by", judgedBy, "old", total.Old.String(), "new", total.New.String())
+}
+
 // evaluate updates the phases of the ordered rollouts and sets the resulting version rules.
 func (r *rollouts) evaluate(ctx context.Context, now time.Time) {
 	orders := r.frontEnd.gateway.Catalog().Rollouts
@@ -172,7 +198,9 @@
 	verdict := rollout.JudgeCanary(now, t.canary, t.evidence)
 	switch verdict.Action {
 	case rollout.Undo:
-		t.phase = catalog.RolloutRolledBack
+		r.undo(t, verdict.Reason, r.frontEnd.settings.Host.Name)
+		r.announceVerdict()
+		return
 	case rollout.Finish:
 		// Hosts that do not write the phase go on with the trial until the store holds it.
 		if !r.frontEnd.writesRolloutPhases(now) {
--- a/internal/frontend/rollouts_test.go
+++ b/internal/frontend/rollouts_test.go
@@ -43,3 +43,19 @@
 	total := receiver.active[testOrder.Service].evidence.Total(rollout.CanaryPercent)
 	require.EqualValues(t, 25, total.New.Failure)
 }
+
+// Guards against hosts that go on sending to a version which another host has judged as bad.
+func TestVerdictOfOneHostStopsAll(t *testing.T) {
+	judge, other := newTestRollouts("h1", time.Unix(1000, 0)), newTestRollouts("h2", time.Unix(1000, 0))
+	judge.undo(judge.active[testOrder.Service], "more failures", "h1")
+	other.mergeEvidence(judge.encodeEvidence())
+	require.Equal(t, catalog.RolloutRolledBack, other.active[testOrder.Service].phase)
+	require.Zero(t, other.requestShare(other.active[testOrder.Service], true, time.Unix(1001, 0)))
+
+	stale := newTestRollouts("h3", time.Unix(1000, 0))
+	later := testOrder
+	later.Revision++
+	stale.activate(later, time.Unix(1002, 0))
+	stale.mergeEvidence(judge.encodeEvidence())
+	require.Equal(t, catalog.RolloutRunning, stale.active[testOrder.Service].phase, "the verdict is about an earlier order")
+}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -62,6 +62,7 @@
 
 	sendCount          atomic.Uint64
 	sendToAllRequested atomic.Bool
+	fullRequested      atomic.Bool
 	// addressesAskedAt is when this host last asked for addresses; only the goroutine that
 	// receives uses it.
 	addressesAskedAt time.Time
@@ -126,7 +127,7 @@
 	if !cells.Divided() {
 		targets = t.Table.Targets(now, limit)
 	}
-	full := t.sendCount.Add(1)%roundsPerIntroduction == 1 || len(targets) < len(t.Seeds)
+	full := t.fullRequested.Swap(false) || t.sendCount.Add(1)%roundsPerIntroduction == 1 || len(targets) < len(t.Seeds)
 	withLoads, withoutLoads := t.composeAndMarshal(now, full, Message{}), []byte(nil)
 	for _, m := range targets {
 		if t.Table.MarkFullLoadsIfDue(m.Name, now) {
@@ -145,6 +146,9 @@
 	}
 }
 
+// SendFullNext makes the next message to the cell a full one.
+func (t *Transport) SendFullNext() { t.fullRequested.Store(true) }
+
 // SendToAllNextRound makes the next round send to all live hosts, including those of other cells.
 func (t *Transport) SendToAllNextRound() { t.sendToAllRequested.Store(true) }
 
--- a/internal/rollout/counter.go
+++ b/internal/rollout/counter.go
@@ -101,6 +101,8 @@
 	Incarnation string        `json:"incarnation"`
 	Sequence    uint64        `json:"sequence"`
 	Counts      []RouteCounts `json:"counts"`
+	// Undone is the reason for which the daemon has undone the rollout, "" if it has not.
+	Undone string `json:"undone,omitempty"`
 }
 
 type stepRouteKey struct {
