Refuse requests with a prompt part on which engines crash

Cause: requests that crash engines are counted by their whole content. No two of these are alike, so each ran, with its retry, on up to two engines.

Change: package promptparts counts, over all hosts, the engines that were lost before a request with a part was answered. From three on without an answer in between, requests with it are refused as not run, for a minute, unless another part explains all of these crashes that the request does not have.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -110,6 +110,8 @@
 		}
 		f.observeStore()
 		return Cause{HostStarting, "the host had not yet learnt the configuration and the upstreams", nil, "if it lasts, look at the store and the links between hosts"}
+	case strings.Contains(f.reason, "crashed on a part of the prompt"):
+		return Cause{Quarantined, "engines had crashed on a part of its prompt", nil, "find the part in the log lines \"engine lost before it answered\" and ask the client account to stop sending it"}
 	case strings.Contains(f.reason, "crashed upstreams"):
 		return Cause{Quarantined, "equal requests had crashed upstreams", nil, "ask the client account to stop sending this request"}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -68,6 +68,7 @@
 			strings.Repeat(line(1100, "h2", messageEnded, "request=other outcome=failed upstream=i1"), 5)}},
 		"caller gone":  {CallerGone, []string{line(0, "h1", messageEnded, `request=r outcome="caller gone" ms=2000 time-ms=39000 upstream=i1`)}},
 		"answered":     {Answered, []string{line(0, "h1", messageEnded, `request=r outcome=answered status=200 ms=20 upstream=i1`)}},
+		"tainted":      {Quarantined, []string{line(0, "h1", messageEnded, `request=r outcome=refused ms=0 reason="engines have crashed on a part of the prompt"`)}},
 		"quarantined":  {Quarantined, []string{line(0, "h1", messageEnded, `request=r outcome=refused ms=0 reason="the request has crashed upstreams"`)}},
 		"unknown key":  {CallerError, []string{line(0, "h1", messageEnded, `request=r outcome=failed status=401 ms=0 reason="the key is unknown"`)}},
 		"host killed":  {HostEnded, []string{line(0, "h1", "stream move", `request=r source=i1 outcome=moved destination=i2`) + line(2000, "h1", "started", "")}},
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -254,6 +254,7 @@
 	case gossip.NoLoads:
 	}
 	m.Losses = f.gateway.Suspects().OwnCounts()
+	m.PromptParts = f.gateway.PromptParts().OwnReport(now)
 	m.Notices = f.gateway.Notices()
 	m.Tables = make(map[string]gossip.TableState, 2)
 	for _, t := range f.tables() {
@@ -282,6 +283,7 @@
 	}
 	f.rollouts.mergeEvidence(m.Evidence)
 	f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
+	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
 	for _, t := range f.tables() {
 		peerState, ok := m.Tables[t.Name()]
@@ -435,6 +437,7 @@
 	f.rollouts.evaluate(ctx, now)
 	f.pool.CloseStale(now)
 	f.gateway.Suspects().Evict(now, f.liveHosts(now))
+	f.gateway.PromptParts().Evict(now)
 	upstreams := f.gateway.Catalog().Upstreams
 	f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/hop"
+	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
 )
 
@@ -86,6 +87,7 @@
 	versionRules atomic.Pointer[map[string]catalog.VersionRule]
 	retryLimiter *retry.WindowLimiter
 	suspects     *Suspects
+	promptParts  *promptparts.Table
 	streams      *streamSet
 	bodies       bodyBuffer
 
@@ -103,7 +105,7 @@
 // New returns a gateway without a catalog; it refuses requests until Publish is called.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), streams: newStreamSet(),
+		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), promptParts: promptparts.NewTable(), streams: newStreamSet(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.notices.received = make(map[catalog.LeaveNotice]receivedNotice)
@@ -135,6 +137,9 @@
 // Suspects returns the table of requests that are suspected of crashing upstreams.
 func (g *Gateway) Suspects() *Suspects { return g.suspects }
 
+// PromptParts returns the table of prompt parts on which engines have crashed.
+func (g *Gateway) PromptParts() *promptparts.Table { return g.promptParts }
+
 // SetRetryBounds limits the retries of all hosts together in any window to ratio times
 // the requests, plus slack.
 func (g *Gateway) SetRetryBounds(ratio, slack float64, window time.Duration) {
@@ -333,6 +338,10 @@
 		c.refuse("the request has crashed upstreams", maxRetryAfter)
 		return false
 	}
+	if c.hasCrashingPart() {
+		c.refuse(errCrashingPart.Error(), maxRetryAfter)
+		return false
+	}
 	if drain := c.g.drain.Load(); drain != nil && !c.endsBeforeDrain(drain, time.Now()) {
 		c.refuse("the host is stopping", drainingRetryAfter)
 		return false
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -69,6 +69,9 @@
 		if c.ctx.Err() != nil || !c.maySend(now) {
 			break
 		}
+		if c.hasCrashingPart() {
+			return errCrashingPart
+		}
 		u := c.chooseUpstream(now)
 		if u == nil {
 			break
@@ -101,7 +104,7 @@
 	body, release, err := c.g.bodies.read(response)
 	c.releaseBodies = append(c.releaseBodies, release)
 	if err != nil {
-		c.recordLostRun(u)
+		c.recordLostRun(u, err)
 		return nil, mayHaveRun, err
 	}
 	c.run.recordEnd(response.Status >= http.StatusInternalServerError, time.Now())
@@ -165,6 +168,9 @@
 	if d.CopyName != "" {
 		return nil
 	}
+	if c.hasCrashingPart() {
+		return errCrashingPart
+	}
 	current := c.g.Catalog()
 	if latest := current.Upstreams[u.ID]; latest == nil || !current.Usable(latest) {
 		return errTargetLeft
@@ -178,20 +184,20 @@
 	var hopError *hop.Error
 	if errors.As(err, &hopError) && hopError.Progress == hop.NotSent {
 		c.undeliveredSends++
-		if c.ctx.Err() == nil && !errors.Is(err, errTargetLeft) {
+		if c.ctx.Err() == nil && !errors.Is(err, errTargetLeft) && !errors.Is(err, errCrashingPart) {
 			c.g.LoadTracker.RecordFailure(u.ID, time.Now())
 			c.g.Pool.CloseIdle(u.Address)
 		}
 		return notRun
 	}
 	c.attempts++
-	c.recordLostRun(u)
+	c.recordLostRun(u, err)
 	return mayHaveRun
 }
 
 // recordLostRun records that an upstream failed while it may have been running the
 // request, unless the caller left or the time of the request was over.
-func (c *call) recordLostRun(u *catalog.Upstream) {
+func (c *call) recordLostRun(u *catalog.Upstream, cause error) {
 	now := time.Now()
 	if c.ctx.Err() != nil {
 		c.run.recordAbandoned(now)
@@ -201,6 +207,7 @@
 	c.g.LoadTracker.RecordFailure(u.ID, now)
 	if current := c.g.Catalog().Upstreams[u.ID]; current != nil && !current.Draining {
 		c.g.suspects.RecordLoss(c.fingerprint, now)
+		c.recordCrash(u, cause, now)
 		c.g.ScheduleReport() // the caller may retry at any host
 	}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/migration"
+	"github.com/rattanscale/rattanscale/internal/promptparts"
 )
 
 // RequestInfo holds what the caller's headers state.
@@ -33,6 +34,8 @@
 	// ResumeAfter is the identifier of the last event that the caller has received; ""
 	// starts from the beginning.
 	ResumeAfter string
+	// SharedParts are the parts of the prompt that other requests may share.
+	SharedParts []promptparts.Part
 }
 
 // Dispatch holds the parameters of one request to an upstream.
--- a/internal/gateway/runreport.go
+++ b/internal/gateway/runreport.go
@@ -40,6 +40,8 @@
 	case 1:
 		r.firstEventAt = now
 		r.send(Outcome{Running: true, TimeToFirst: now.Sub(r.sentAt)})
+	case beginningEvents + 1:
+		r.call.recordAnswer(now)
 	case intervalSampleEvents + 1:
 		r.intervalReported = true
 		r.send(Outcome{Running: true, MeanEventInterval: now.Sub(r.firstEventAt) / intervalSampleEvents})
@@ -48,6 +50,9 @@
 
 // recordEnd records that the upstream ended the run, with a failure or a complete response.
 func (r *runReport) recordEnd(failed bool, now time.Time) {
+	if !failed {
+		r.call.recordAnswer(now)
+	}
 	o := Outcome{Failed: failed}
 	switch {
 	case failed:
--- a/internal/gateway/runreport_test.go
+++ b/internal/gateway/runreport_test.go
@@ -12,7 +12,7 @@
 // reportedTimes returns the outcomes that a run of a stream reports while drive acts on it.
 func reportedTimes(u *catalog.Upstream, d Dispatch, drive func(r *runReport, start time.Time)) []Outcome {
 	var out []Outcome
-	g := &Gateway{Options: Options{OnOutcome: func(o Outcome) { out = append(out, o) }}}
+	g := New(Options{OnOutcome: func(o Outcome) { out = append(out, o) }})
 	route := &catalog.Route{Name: "r", Kind: catalog.Stream, LatencyTarget: time.Second, MaxEventGap: 100 * time.Millisecond}
 	c := &call{g: g, route: route, service: &catalog.Service{Name: "s"}}
 	c.startRun(u, d)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -245,7 +245,7 @@
 	body, release, err := c.g.bodies.read(response)
 	c.releaseBodies = append(c.releaseBodies, release)
 	if err != nil {
-		c.recordLostRun(u)
+		c.recordLostRun(u, err)
 		return mayHaveRun, err
 	}
 	c.run.recordEnd(true, time.Now())
@@ -344,7 +344,7 @@
 		return mayHaveRun, context.Cause(c.ctx)
 	}
 	if !s.isMigrating() {
-		c.recordLostRun(u)
+		c.recordLostRun(u, err)
 	}
 	return mayHaveRun, err
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,8 +1,15 @@
 package gateway
 
 import (
+	"errors"
+	"net"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/promptparts"
+	"github.com/rattanscale/rattanscale/internal/retry"
 )
 
 const (
@@ -107,3 +114,31 @@
 		}
 	}
 }
+
+// beginningEvents is the number of events up to which an engine has only begun to answer.
+const beginningEvents = 1
+
+var errCrashingPart = errors.New("engines have crashed on a part of the prompt")
+
+// hasCrashingPart reports whether engines crash on a part of the request's prompt.
+func (c *call) hasCrashingPart() bool {
+	_, refused := c.g.promptParts.Refused(c.info.SharedParts, time.Now())
+	return refused
+}
+
+// recordCrash records that the upstream was lost before it had answered the request. A
+// request that is answered already has not caused it, and an upstream that is only silent
+// has not crashed.
+func (c *call) recordCrash(u *catalog.Upstream, cause error, now time.Time) {
+	var netError net.Error
+	if len(c.info.SharedParts) == 0 || c.run.events > beginningEvents || errors.As(cause, &netError) && netError.Timeout() {
+		return
+	}
+	engine := promptparts.Engine(retry.Hash(u.ID + "/" + strconv.FormatInt(u.Incarnation, 10)))
+	if c.g.promptParts.RecordCrash(c.info.SharedParts, engine, now) {
+		c.g.Log.Info("engine lost before it answered", "request", c.info.ID, "upstream", u.ID, "parts", len(c.info.SharedParts), "error", cause.Error())
+	}
+}
+
+// recordAnswer records that an engine answers the request.
+func (c *call) recordAnswer(now time.Time) { c.g.promptParts.RecordAnswer(c.info.SharedParts, now) }
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
 )
 
@@ -85,6 +86,8 @@
 	Content Content
 	// Notices names the engines that have notified the sender that they leave.
 	Notices []catalog.LeaveNotice `msgpack:"-"`
+	// PromptParts is what the sender has seen of prompt parts that crash engines.
+	PromptParts promptparts.Report `msgpack:"-"`
 	// WantsAddresses asks the receiver for the members of its cell with their addresses.
 	WantsAddresses bool `msgpack:"-"`
 }
--- a/internal/gossip/version_test.go
+++ b/internal/gossip/version_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/promptparts"
 )
 
 // firstMember and firstMessage are the first version of the message format.
@@ -63,6 +64,13 @@
 	again, err := decodeMessage(data)
 	require.NoError(t, err)
 	require.Equal(t, sent, again)
+	sent.PromptParts = promptparts.Report{Crashes: []promptparts.Crash{{Part: 5, Engine: 6, Age: 7}}, Answers: []promptparts.Answer{{Part: 8, Age: 9}}}
+	extended, err := sent.encode()
+	require.NoError(t, err)
+	again, err = decodeMessage(extended)
+	require.NoError(t, err)
+	require.Equal(t, sent, again)
+	require.NoError(t, msgpack.Unmarshal(extended, &decodedByOldHost), "hosts of an older version ignore further values")
 	_, err = decodeMessage(data[:len(data)-1])
 	require.Error(t, err, "truncated in the extension")
 }
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -20,7 +20,7 @@
 	Notices    []catalog.LeaveNotice
 }
 
-// requests follows the extension if the sender asks for something.
+// requests follows the extension if the sender asks for something or a further value follows.
 type requests struct{ Addresses bool }
 
 func (m *Message) encode() ([]byte, error) {
@@ -35,8 +35,12 @@
 		return nil, err
 	}
 	err := encoder.Encode(&e)
-	if err == nil && m.WantsAddresses {
-		err = encoder.Encode(&requests{Addresses: true})
+	hasParts := len(m.PromptParts.Crashes)+len(m.PromptParts.Answers) > 0
+	if err == nil && (m.WantsAddresses || hasParts) {
+		err = encoder.Encode(&requests{Addresses: m.WantsAddresses})
+	}
+	if err == nil && hasParts {
+		err = encoder.Encode(&m.PromptParts)
 	}
 	return data.Bytes(), err
 }
@@ -55,6 +59,9 @@
 	if err := decoder.Decode(&r); err != nil && !errors.Is(err, io.EOF) {
 		return m, err
 	}
+	if err := decoder.Decode(&m.PromptParts); err != nil && !errors.Is(err, io.EOF) {
+		return m, err
+	}
 	m.Notices, m.WantsAddresses = e.Notices, r.Addresses
 	for i := range min(len(e.MemberAges), len(m.Others)) {
 		m.Others[i].Age = e.MemberAges[i]
