Do not reuse a connection that recently carried the same request

Reported by other operators: an engine wrote an earlier refusal once more on a kept connection, and a caller was told 'not run' for a request that ran.

Here copies of refusals are skipped by their identifier, and copies without one are not accepted on a used connection (TestLateCopyDoesNotReachTheNextRequest). One case was open: a request that comes to the same engine a second time, as a stream that moves to an engine which had refused it, on a connection that had carried it before, but not as its previous request. Its refusal, written again, would pass for the answer.

Change: a connection remembers its last 32 requests. The extended TestSameRequestUsesAnotherConnection failed before (2 instead of 3 connections).

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,8 +78,8 @@
 	Header http.Header
 	Body   []byte
 	// ID identifies the request; it may be empty. The request is not sent on a connection
-	// whose previous request had the same identifier, because a late copy of that response
-	// could not be told apart.
+	// whose recent requests include one of the same identifier, because a late copy of that
+	// response could not be told apart.
 	ID string
 	// AcceptResponse reports whether a response belongs to this request; nil accepts all. On
 	// a first connection no other request was sent before, so that no late response can
@@ -117,9 +118,15 @@
 	lastUsed     time.Time
 	reuseTimeout time.Duration
 	served       int
-	lastID       string // of the latest request
+	// recentIDs holds the identifiers of the latest requests; the next one is stored at index
+	// served modulo its length.
+	recentIDs [rememberedIDs]string
 }
 
+// rememberedIDs is the number of requests of a connection after which a late copy of a
+// response is no longer expected.
+const rememberedIDs = 32
+
 // Close closes the idle connections, and those in use once their exchange ends. Later
 // requests are not sent.
 func (p *Pool) Close() {
@@ -185,7 +192,7 @@
 		c := conns[len(conns)-1]
 		p.idle[address] = conns[:len(conns)-1]
 		p.mu.Unlock()
-		carriedSame := requestID != "" && c.lastID == requestID
+		carriedSame := requestID != "" && slices.Contains(c.recentIDs[:], requestID)
 		if !carriedSame && now.Sub(c.lastUsed) <= c.reuseTimeout && c.idleIntact() {
 			return c, nil
 		}
@@ -277,8 +284,8 @@
 		_ = c.Conn.Close()
 		return nil, &Error{Progress: Sent, Cause: err}
 	}
+	c.recentIDs[c.served%rememberedIDs] = r.ID
 	c.served++
-	c.lastID = r.ID
 	c.applyKeepAlive(head)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Framed: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
--- a/internal/hop/faults_test.go
+++ b/internal/hop/faults_test.go
@@ -260,14 +260,14 @@
 	})
 	pool := NewPool(nil)
 	defer pool.Close()
-	for _, id := range []string{"a", "b", "b"} {
+	for _, id := range []string{"a", "b", "b", "c", "d", "b"} {
 		response, err := pool.Do(t.Context(), address, requestWithID(id))
 		require.NoError(t, err)
 		response.Drain()
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	assert.Equal(t, 2, opened)
+	assert.Equal(t, 3, opened)
 }
 
 // Guards against connections that outlive their pool.
