Let the next host write the phase of a rollout when the first can not

Cause: only the first live host in rank wrote; a host that is cut off from the store is live for all others.

Change: each host waits 0.7 s for each host before it in rank, from the moment at which another phase is due. The write is conditional, so that one wins. TestNextHostWritesAPhaseThatStaysDue needs the new function.

--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -17,13 +17,17 @@
 	// minStatusReadInterval limits the rate of reads of rollout statuses, which are read only
 	// while a rollout is ordered.
 	minStatusReadInterval = 500 * time.Millisecond
-	statusWriteTimeout    = 2 * time.Second
+	statusWriteTimeout    = time.Second
+	// writeTakeover is how long a host waits for each host before it in rank to write a
+	// phase. Those may be cut off from the store while all other hosts see them live.
+	writeTakeover = 700 * time.Millisecond
 )
 
 // rollouts runs the rollouts that operators order. Every host counts outcomes, merges the counts
-// of the other hosts, and stops sending to a version that it judges as bad. The host of the
-// lowest rank writes the phase to the store, on condition that the status row is unchanged since
-// it was read, so that a final phase is not overwritten. It is safe for concurrent use.
+// of the other hosts, and stops sending to a version that any of them judges as bad. The host of
+// the lowest rank that reaches the store writes the phase, on condition that the status row is
+// unchanged since it was read, so that a final phase is not overwritten. It is safe for concurrent
+// use.
 type rollouts struct {
 	frontEnd *FrontEnd
 
@@ -42,6 +46,9 @@
 	phase, storedPhase catalog.RolloutPhase
 	// statusRevision is the revision of the status row, 0 if there is none.
 	statusRevision uint64
+	// writeDueSince is when this host first had a reason to write another phase than the
+	// stored one; zero if there is none.
+	writeDueSince time.Time
 	// undoReason is why this host or another one has judged the version as bad.
 	undoReason string
 }
@@ -184,7 +191,9 @@
 	if s.Revision < t.order.Revision || s.Version != t.order.Version {
 		return
 	}
-	t.storedPhase = s.Phase
+	if t.storedPhase != s.Phase {
+		t.storedPhase, t.writeDueSince = s.Phase, time.Time{}
+	}
 	if s.Phase != catalog.RolloutRunning {
 		t.phase = s.Phase
 	}
@@ -203,7 +212,7 @@
 		return
 	case rollout.Finish:
 		// Hosts that do not write the phase go on with the trial until the store holds it.
-		if !r.frontEnd.writesRolloutPhases(now) {
+		if !r.writesPhase(t, now) {
 			return
 		}
 		t.phase = catalog.RolloutCompleted
@@ -218,7 +227,7 @@
 // writePhase starts a write of a changed phase to the store, if this host writes the phases and
 // no other write is running.
 func (r *rollouts) writePhase(ctx context.Context, t *activeRollout) {
-	if t.phase == t.storedPhase || r.writing || !r.frontEnd.writesRolloutPhases(time.Now()) {
+	if t.phase == t.storedPhase || r.writing || !r.writesPhase(t, time.Now()) {
 		return
 	}
 	r.writing = true
@@ -239,7 +248,7 @@
 		}
 		r.frontEnd.log.Info("rollout status written", "service", status.Service, "version", status.Version, "phase", string(status.Phase))
 		r.mu.Lock()
-		t.storedPhase = status.Phase
+		t.storedPhase, t.writeDueSince = status.Phase, time.Time{}
 		r.mu.Unlock()
 	})
 }
@@ -266,8 +275,18 @@
 	return t.canary.RequestShare(bounds, perSecond, float64(onVersion)/float64(max(usable, 1)))
 }
 
-func (f *FrontEnd) writesRolloutPhases(now time.Time) bool {
-	return f.members.Rank(now) == 0 && f.ready()
+// writesPhase reports whether this host writes a phase that differs from the stored one.
+func (r *rollouts) writesPhase(t *activeRollout, now time.Time) bool {
+	if t.writeDueSince.IsZero() {
+		t.writeDueSince = now
+	}
+	return r.frontEnd.ready() && mayWritePhase(r.frontEnd.members.Rank(now), now.Sub(t.writeDueSince))
+}
+
+// mayWritePhase reports whether the host of a rank writes a phase that has been due for the
+// given time.
+func mayWritePhase(rank int, due time.Duration) bool {
+	return due >= time.Duration(rank)*writeTakeover
 }
 
 // statuses returns the rollout statuses in the store by service; false until they were read.
--- a/internal/frontend/rollouts_test.go
+++ b/internal/frontend/rollouts_test.go
@@ -59,3 +59,14 @@
 	stale.mergeEvidence(judge.encodeEvidence())
 	require.Equal(t, catalog.RolloutRunning, stale.active[testOrder.Service].phase, "the verdict is about an earlier order")
 }
+
+// Guards against a phase that is never written because the hosts before in rank are live but
+// cut off from the store.
+func TestNextHostWritesAPhaseThatStaysDue(t *testing.T) {
+	require.True(t, mayWritePhase(0, 0))
+	require.False(t, mayWritePhase(1, 0))
+	require.False(t, mayWritePhase(3, 2*writeTakeover))
+	require.True(t, mayWritePhase(3, 3*writeTakeover))
+	// Half of nine hosts cut off, and a canary that is accepted at 0.7 of 15 s.
+	require.True(t, mayWritePhase(5, 4*time.Second))
+}
