Read the store in time at a host that hears no other host

Cause: hosts step in as readers one after the other. A host counted those before it for 2.5 s after it had last heard of them, so that one that was cut off from the others, but not from the store, waited 1.5 s and up to 0.1 s for each of them: more than the 2 s within which a configuration must be in force.

Change: the order counts only hosts that were seen within a second. TestIsolatedHostReadsTheStoreInTime failed before at 7, 9 and 90 hosts.

--- a/internal/frontend/readduty_test.go
+++ b/internal/frontend/readduty_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/retry"
 )
 
@@ -125,3 +126,33 @@
 	s.now, s.confirmedAt = now.Add(3*readTerm), now.Add(3*readTerm-standbyReadAge-standbyReadStagger)
 	assert.False(t, duty.shouldRead(s), "the host that comes first steps in")
 }
+
+// Guards against configurations that are late at a host which is cut off from all other hosts
+// but reaches the store: it waited for hosts that it could not hear of.
+func TestIsolatedHostReadsTheStoreInTime(t *testing.T) {
+	const bound = 2 * time.Second // within which a configuration must be in force
+	for _, hosts := range []int{7, 9, 90} {
+		now, last := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), 0
+		for i := range hosts {
+			if retry.Hash(fmt.Sprint("h", i)) > retry.Hash(fmt.Sprint("h", last)) {
+				last = i // the host that steps in last
+			}
+		}
+		members := gossip.NewTable(gossip.Member{Name: fmt.Sprint("h", last), State: gossip.Ready})
+		for i := range hosts {
+			members.Merge(gossip.Message{Self: gossip.Member{Name: fmt.Sprint("h", i), Heartbeat: 1, State: gossip.Ready, PeerAddress: "p"}}, now)
+		}
+		var duty readDuty
+		for elapsed := time.Duration(0); ; elapsed += simulatedStep {
+			at := now.Add(elapsed)
+			rank, standbyRank := members.CellRanks(at)
+			s := readSituation{now: at, startedAt: now.Add(-time.Hour), rank: max(rank, 2), standbyRank: standbyRank, readers: 2, confirmedAt: now, known: true}
+			if duty.shouldRead(s) {
+				break
+			}
+			if !assert.Less(t, elapsed, bound, "%d hosts", hosts) {
+				break
+			}
+		}
+	}
+}
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -108,6 +108,9 @@
 	// FailureTimeout is the time since it was last seen after which a host counts as failed.
 	// Hosts send several times a second, so only the loss of many datagrams reaches it.
 	FailureTimeout = 2500 * time.Millisecond
+	// recentlySeen is the time since it was last seen after which no host waits for another
+	// one to act first. It is several rounds, also those within a cell of a divided site.
+	recentlySeen = time.Second
 	// removalTimeout is the time since it was last seen after which a host is removed.
 	removalTimeout = time.Minute
 	// fullLoadsInterval is the interval at which all loads are sent to a host again, in case a
@@ -429,19 +432,28 @@
 func (t *Table) Rank(now time.Time) int { return t.rank(t.Live(now)) }
 
 // CellRanks returns this host's ranks, from 0, among the live hosts of its cell that are not
-// draining: by name, and by a hash of the name, which mixes the hosts of the data centres.
+// draining: by name, and by a hash of the name, which mixes the hosts of the data centres. The
+// second counts only hosts that were seen recently: a host that is cut off from the others must
+// not wait for them.
 func (t *Table) CellRanks(now time.Time) (byName, byHash int) {
 	cells := t.Cells()
 	live := slices.DeleteFunc(t.Live(now), func(m Member) bool { return !cells.InOwnCell(m.DataCentre, m.Name) })
 	own := retry.Hash(t.Self().Name)
 	for _, m := range live {
-		if m.State != Draining && retry.Hash(m.Name) < own {
+		if m.State != Draining && retry.Hash(m.Name) < own && t.seenWithin(m.Name, recentlySeen, now) {
 			byHash++
 		}
 	}
 	return t.rank(live), byHash
 }
 
+func (t *Table) seenWithin(name string, d time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.others[name]
+	return e != nil && now.Sub(e.lastSeen) <= d
+}
+
 func (t *Table) rank(live []Member) int {
 	self, rank := t.Self().Name, 0
 	for _, m := range live {
