--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -18,7 +18,7 @@
 		b.Run(fmt.Sprintf("hosts=%d/engines=%d", size.hosts, size.engines), func(b *testing.B) {
 			now := time.Now()
 			loads := balance.NewTracker()
-			g := New(Options{DataCentre: "dc-0", LoadTracker: loads, HostCount: func() int { return size.hosts }, Log: logr.Discard()})
+			g := New(Options{DataCentre: "dc-0", LoadTracker: loads, HostCount: func() int { return size.hosts }, Cell: func() (func(string, string) bool, bool) { return nil, false }, Log: logr.Discard()})
 			c := &catalog.Catalog{Configuration: &catalog.Configuration{}, Upstreams: map[string]*catalog.Upstream{}, UpstreamsKnown: true}
 			service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 24, MemoryTokens: 34_000}}
 			for i := range size.engines {
