Keep to what engines say of themselves in their answers

A leave notice in any answer takes effect like one that was asked for: no new work, streams move, other hosts are told. It is kept for a minute while the store has no entry of the engine, as entries of running engines may come back. A back-off binds the host that was told, by incarnation, for at most a minute; choices, copies and the check right before a send keep to it. If all engines of a service want nothing, callers are refused at once with the soonest end and up to half of the wait more, so that they do not return together. Values that are no number of seconds are logged and ignored. Other hosts are not told of a back-off: not weighed yet.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -438,6 +438,7 @@
 	f.pool.CloseStale(now)
 	f.gateway.Suspects().Evict(now, f.liveHosts(now))
 	f.gateway.PromptParts().Evict(now)
+	f.gateway.EvictBackOffs(now)
 	upstreams := f.gateway.Catalog().Upstreams
 	f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
 }
--- /dev/null
+++ b/internal/gateway/backoff.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanscale/rattanscale/internal/catalog"
+)
+
+const (
+	// maxBackOff bounds a back-off. A sound engine is used again after it, whatever it said.
+	maxBackOff = time.Minute
+	// maxBackOffs bounds the table; further back-offs are ignored.
+	maxBackOffs = 4096
+)
+
+// incarnation identifies one incarnation of an upstream. An upstream that starts again is not
+// bound by what its previous incarnation said.
+type incarnation struct {
+	upstream string
+	start    int64
+}
+
+func incarnationOf(u *catalog.Upstream) incarnation { return incarnation{u.ID, u.Incarnation} }
+
+// backOffs holds until when upstreams want no requests from this host. It is safe for
+// concurrent use.
+type backOffs struct {
+	mu    sync.RWMutex
+	until map[incarnation]time.Time
+	// count is len(until), so that choices take no lock while there are none.
+	count atomic.Int32
+}
+
+func newBackOffs() *backOffs { return &backOffs{until: make(map[incarnation]time.Time)} }
+
+// add records that an upstream wants no requests for a time. A shorter back-off does not end an
+// earlier one. It reports whether the upstream had none before.
+func (b *backOffs) add(u *catalog.Upstream, d time.Duration, now time.Time) (isNew bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key, end := incarnationOf(u), now.Add(min(d, maxBackOff))
+	held, known := b.until[key]
+	if !known && len(b.until) >= maxBackOffs {
+		b.evictLocked(now)
+		if len(b.until) >= maxBackOffs {
+			return false
+		}
+	}
+	if end.After(held) {
+		b.until[key] = end
+	}
+	b.count.Store(int32(len(b.until)))
+	return !now.Before(held)
+}
+
+// activeUntil returns until when an upstream wants no requests; false if it takes requests now.
+func (b *backOffs) activeUntil(u *catalog.Upstream, now time.Time) (time.Time, bool) {
+	if b.count.Load() == 0 {
+		return time.Time{}, false
+	}
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	end, known := b.until[incarnationOf(u)]
+	return end, known && now.Before(end)
+}
+
+func (b *backOffs) evict(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evictLocked(now)
+}
+
+func (b *backOffs) evictLocked(now time.Time) {
+	for key, end := range b.until {
+		if !now.Before(end) {
+			delete(b.until, key)
+		}
+	}
+	b.count.Store(int32(len(b.until)))
+}
+
+// EvictBackOffs deletes the back-offs that are over.
+func (g *Gateway) EvictBackOffs(now time.Time) { g.backOffs.evict(now) }
+
+// mayReceive reports whether an upstream may receive new work of this host.
+func (g *Gateway) mayReceive(cat *catalog.Catalog, u *catalog.Upstream, now time.Time) bool {
+	if !cat.Usable(u) {
+		return false
+	}
+	_, backingOff := g.backOffs.activeUntil(u, now)
+	return !backingOff
+}
+
+// recordStatements records what an upstream says of itself in a response: that it leaves, or
+// that it wants no requests for a time.
+func (g *Gateway) recordStatements(u *catalog.Upstream, info ResponseInfo) {
+	now := time.Now()
+	if info.InvalidBackOff != "" {
+		g.Log.Info("back-off of an upstream ignored: the value is invalid", "upstream", u.ID, "value", info.InvalidBackOff)
+	}
+	if info.BackOff > 0 && g.backOffs.add(u, info.BackOff, now) {
+		g.Log.Info("upstream wants no requests for a time", "upstream", u.ID, "for", min(info.BackOff, maxBackOff))
+		g.Metrics.RecordStatement("back-off")
+	}
+	if info.Leaving {
+		g.recordLeaveNotice(u, "response")
+	}
+}
+
+// backOffEnd returns when the first upstream of the service that is in use wants requests
+// again; false if one wants them now or none is in use.
+func (g *Gateway) backOffEnd(cat *catalog.Catalog, service string, now time.Time) (end time.Time, waiting bool) {
+	for _, u := range cat.UpstreamsOfService(service) {
+		if !cat.Usable(u) {
+			continue
+		}
+		until, backingOff := g.backOffs.activeUntil(u, now)
+		if !backingOff {
+			return time.Time{}, false
+		}
+		if !waiting || until.Before(end) {
+			end, waiting = until, true
+		}
+	}
+	return end, waiting
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 	retryLimiter *retry.WindowLimiter
 	suspects     *Suspects
 	promptParts  *promptparts.Table
+	backOffs     *backOffs
 	streams      *streamSet
 	bodies       bodyBuffer
 
@@ -105,7 +106,7 @@
 // New returns a gateway without a catalog; it refuses requests until Publish is called.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), promptParts: promptparts.NewTable(), streams: newStreamSet(),
+		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), promptParts: promptparts.NewTable(), backOffs: newBackOffs(), streams: newStreamSet(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.notices.received = make(map[catalog.LeaveNotice]receivedNotice)
@@ -407,8 +408,12 @@
 // part of the healthy upstreams, if there are many hosts; all upstreams. The plain policy
 // always considers all.
 func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
+	mayReceive := cat.Usable
+	if g.backOffs.count.Load() > 0 {
+		mayReceive = func(u *catalog.Upstream) bool { return g.mayReceive(cat, u, now) }
+	}
 	isUsable := func(u *catalog.Upstream) bool {
-		return cat.Usable(u) && versionAllowed(u.Version) && !slices.Contains(triedUpstreams, u.ID)
+		return mayReceive(u) && versionAllowed(u.Version) && !slices.Contains(triedUpstreams, u.ID)
 	}
 	hosts, upstreams := g.HostCount(), cat.UpstreamsOfService(service.Name)
 	isHealthy := func(u *catalog.Upstream) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -48,6 +48,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
 }
 
+// RecordStatement counts a new statement of an upstream about itself.
+func (m *Metrics) RecordStatement(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_upstream_statements_total{kind=%q}`, kind)).Inc()
+}
+
 // SetDroppedLogLines sets the total number of dropped log lines.
 func (m *Metrics) SetDroppedLogLines(lines uint64) {
 	m.set.GetOrCreateCounter(`rattanscale_log_lines_dropped_total`).Set(lines)
--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -265,11 +265,11 @@
 // memory first. It prefers engines of this host's cell, then those in the data centre of
 // the source, then those in other data centres, where a copy takes twice as long.
 func (g *Gateway) destinations(s *stream, source *catalog.Upstream, service *catalog.Service) []migration.Destination {
-	cat := g.Catalog()
+	cat, now := g.Catalog(), time.Now()
 	inOwnCell, divided := g.Cell()
 	var inCell, inDataCentre, elsewhere []string
 	for _, u := range cat.UpstreamsOfService(source.Service) {
-		if u.ID == source.ID || !cat.Usable(u) || u.Expired || slices.Contains(s.fullEngines, u.ID) {
+		if u.ID == source.ID || !g.mayReceive(cat, u, now) || u.Expired || slices.Contains(s.fullEngines, u.ID) {
 			continue
 		}
 		switch {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -130,7 +131,14 @@
 	}
 }
 
-// retryAfterRefusal is the delay after which a refused request may be retried.
+// retryAfterRefusal is the delay after which a refused request may be retried. If all upstreams
+// want no requests for a time it is that time and up to half of it more, so that callers do not
+// all return at once.
 func (c *call) retryAfterRefusal() time.Duration {
+	now := time.Now()
+	if end, waiting := c.g.backOffEnd(c.g.Catalog(), c.service.Name, now); waiting {
+		wait := end.Sub(now)
+		return wait + time.Duration(rand.Float64()*float64(wait/2))
+	}
 	return c.route.LatencyTarget / 4
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,7 +38,7 @@
 	errUnsignedResponse = errors.New("upstream answered without a signature; the answer is not passed on")
 	errUpstreamFailed   = errors.New("upstream failed")
 	errNoUpstream       = errors.New("no upstream is available")
-	errTargetLeft       = errors.New("the upstream began to leave before the request was sent")
+	errTargetLeft       = errors.New("the upstream began to leave, or to refuse requests for a time, before the request was sent")
 )
 
 // servePlain forwards a request that is not a stream.
@@ -138,6 +138,7 @@
 		return nil, c.recordExchangeFailure(u, err), err
 	}
 	info := c.g.Protocol.Response(response.Status, response.Header)
+	c.g.recordStatements(u, info)
 	if info.NotRun {
 		response.Drain()
 		c.g.LoadTracker.RecordFailure(u.ID, now)
@@ -172,7 +173,7 @@
 		return errCrashingPart
 	}
 	current := c.g.Catalog()
-	if latest := current.Upstreams[u.ID]; latest == nil || !current.Usable(latest) {
+	if latest := current.Upstreams[u.ID]; latest == nil || !c.g.mayReceive(current, latest, time.Now()) {
 		return errTargetLeft
 	}
 	return nil
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -59,6 +59,12 @@
 	Signed bool
 	// NotRun is set if the upstream states that it did not run the request.
 	NotRun bool
+	// Leaving is set if the upstream states that it is about to leave.
+	Leaving bool
+	// BackOff is the time for which an upstream that did not run the request wants no others;
+	// 0 is none. InvalidBackOff is the start of a value that could not be read.
+	BackOff        time.Duration
+	InvalidBackOff string
 }
 
 // Protocol translates between the platform's headers and the gateway. Its methods are
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -23,10 +23,12 @@
 	// engine that starts again under the same identifier is up some seconds after its
 	// end.
 	anonymousNoticeTTL = 15 * time.Second
+	// removedNoticeTTL is how long a notice is kept while its engine has no entry.
+	removedNoticeTTL = time.Minute
 )
 
-// notices holds the leave notices that hosts received from engines directly while the
-// store could not be reached.
+// notices holds the leave notices that hosts received from engines directly: in responses, or
+// on a question while the store could not be reached.
 type notices struct {
 	mu       sync.Mutex
 	received map[catalog.LeaveNotice]receivedNotice
@@ -65,7 +67,7 @@
 }
 
 // applyTo returns the catalog with the engines that gave notice marked as draining.
-// Notices of incarnations that the catalog no longer holds are deleted.
+// Notices of earlier incarnations are deleted.
 func (n *notices) applyTo(c *catalog.Catalog, now time.Time) *catalog.Catalog {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -73,7 +75,12 @@
 	for notice, record := range n.received {
 		u := c.Upstreams[notice.Upstream]
 		switch {
-		case u == nil || u.Incarnation != notice.Incarnation, notice.Incarnation == 0 && now.Sub(record.receivedAt) > anonymousNoticeTTL:
+		case u == nil:
+			// The entry may come back: the store removes entries of engines that still run.
+			if now.Sub(record.receivedAt) > removedNoticeTTL {
+				delete(n.received, notice)
+			}
+		case u.Incarnation != notice.Incarnation, notice.Incarnation == 0 && now.Sub(record.receivedAt) > anonymousNoticeTTL:
 			delete(n.received, notice)
 		case !u.Draining:
 			if out == c {
@@ -137,10 +144,18 @@
 		g.Log.V(1).Info("engine did not answer whether it is leaving", "upstream", u.ID, "error", err.Error())
 		return
 	}
-	if !leaving || !g.notices.add(catalog.LeaveNotice{Upstream: u.ID, Incarnation: u.Incarnation}, true, time.Now()) {
+	if leaving {
+		g.recordLeaveNotice(u, "question")
+	}
+}
+
+// recordLeaveNotice records that an engine told this host that it is leaving.
+func (g *Gateway) recordLeaveNotice(u *catalog.Upstream, source string) {
+	if !g.notices.add(catalog.LeaveNotice{Upstream: u.ID, Incarnation: u.Incarnation}, true, time.Now()) {
 		return
 	}
-	g.Log.Info("engine reported that it is leaving", "upstream", u.ID)
+	g.Log.Info("engine reported that it is leaving", "upstream", u.ID, "source", source)
+	g.Metrics.RecordStatement("leaving, " + source)
 	g.AnnounceNotices()
 	g.activate()
 }
