--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -191,6 +191,9 @@
 	if s.Revision < t.order.Revision || s.Version != t.order.Version {
 		return
 	}
+	if s.Phase == catalog.RolloutRunning && t.storedPhase != "" {
+		return // read before this host wrote a final phase
+	}
 	if t.storedPhase != s.Phase {
 		t.storedPhase, t.writeDueSince = s.Phase, time.Time{}
 	}
--- a/internal/frontend/rollouts_test.go
+++ b/internal/frontend/rollouts_test.go
@@ -70,3 +70,15 @@
 	// Half of nine hosts cut off, and a canary that is accepted at 0.7 of 15 s.
 	require.True(t, mayWritePhase(5, 4*time.Second))
 }
+
+// Guards against traffic that returns to the old version, which has stopped, because a status
+// read before the final phase was written arrives after it.
+func TestFinalPhaseIsNotOverwrittenByAnEarlierRead(t *testing.T) {
+	r := newTestRollouts("h1", time.Unix(1000, 0)).active[testOrder.Service]
+	status := catalog.RolloutStatus{Service: testOrder.Service, Version: testOrder.Version, Phase: catalog.RolloutRunning, Revision: testOrder.Revision + 1}
+	r.applyStatus(status)
+	require.Equal(t, catalog.RolloutRunning, r.storedPhase)
+	r.phase, r.storedPhase = catalog.RolloutCompleted, catalog.RolloutCompleted // this host has written it
+	r.applyStatus(status)
+	require.Equal(t, catalog.RolloutCompleted, r.storedPhase)
+}
