Count windows of requests on the monotonic clock

Cause: buckets of the retry window were numbered by the time of day. After a jump back they stood still until the clock caught up, and after a jump ahead the window was empty, so that a canary took the service for a quiet one and received more requests.

Change: buckets are numbered from the first request, by the monotonic clock. Found by reading; there is no test, since times in a test have one clock.

--- a/internal/retry/windows.go
+++ b/internal/retry/windows.go
@@ -26,7 +26,9 @@
 	retriesPerRequest float64
 	extraRetries      float64
 	bucketDuration    time.Duration
-	windows           map[string]*serviceWindow
+	// epoch is the start of the first bucket.
+	epoch   time.Time
+	windows map[string]*serviceWindow
 }
 
 // serviceWindow counts the requests and retries of one service in a ring of buckets.
@@ -54,7 +56,11 @@
 // currentWindow returns the window of the service, advanced to the given time.
 func (w *WindowLimiter) currentWindow(service string, now time.Time) *serviceWindow {
 	s := w.windows[service]
-	index := now.UnixNano() / int64(w.bucketDuration)
+	if w.epoch.IsZero() {
+		w.epoch = now
+	}
+	// The difference uses the monotonic clock; the time of day may jump.
+	index := int64(now.Sub(w.epoch) / w.bucketDuration)
 	if s == nil {
 		s = &serviceWindow{currentBucket: index, firstBucket: index}
 		w.windows[service] = s
