Bound what a report on prompt parts can add

Found by reading: a datagram can hold some 3,000 entries. With a full table each of them searched for the oldest part while requests waited for the lock. Only as many entries as a host reports are taken. TestLongReportsAreCut failed before with 3,000 parts.

--- a/internal/promptparts/promptparts.go
+++ b/internal/promptparts/promptparts.go
@@ -221,16 +221,17 @@
 	return r
 }
 
-// Merge adds the report of another host.
+// Merge adds the report of another host. Entries above the number that a host reports are
+// ignored: they come from no sound host, and requests wait for the table meanwhile.
 func (t *Table) Merge(r Report, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range r.Crashes {
+	for _, c := range r.Crashes[:min(len(r.Crashes), maxReported)] {
 		if age, valid := reportedAge(c.Age); valid {
 			t.addCrash(c.Part, c.Engine, crash{at: now.Add(-age)})
 		}
 	}
-	for _, a := range r.Answers {
+	for _, a := range r.Answers[:min(len(r.Answers), maxReported)] {
 		e := t.parts[a.Part]
 		age, valid := reportedAge(a.Age)
 		if at := now.Add(-age); e != nil && valid && at.After(e.answeredAt) {
--- a/internal/promptparts/promptparts_test.go
+++ b/internal/promptparts/promptparts_test.go
@@ -203,3 +203,14 @@
 	table.Evict(now.Add(time.Hour))
 	require.Empty(t, table.parts)
 }
+
+// Guards against a report of many parts that holds up requests, which wait for the table.
+func TestLongReportsAreCut(t *testing.T) {
+	table, now, long := NewTable(), time.Unix(1000, 0), Report{}
+	for i := range 3000 {
+		long.Crashes = append(long.Crashes, Crash{Part: Part(i), Engine: Engine(i)})
+		long.Answers = append(long.Answers, Answer{Part: Part(i)})
+	}
+	table.Merge(long, now)
+	require.LessOrEqual(t, len(table.parts), maxReported)
+}
