--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,13 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/samber/lo"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
@@ -388,128 +386,6 @@
 	return c.g.chooseUpstream(c.g.Catalog(), c.service, c.info.ID, c.expectedMemoryTokens(), c.triedUpstreams, now)
 }
 
-// chooseUpstream selects an upstream for a request that is expected to hold the given
-// tokens of memory, or returns nil. A request of a version on trial runs on another
-// version if no upstream of its own has capacity.
-func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, request string, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
-	versionAllowed, onTrial := g.allowedVersions(service.Name, request)
-	u := g.chooseOfVersion(cat, service, versionAllowed, tokens, triedUpstreams, now)
-	if onTrial && (u == nil || !g.hasRoom(u, service, tokens, now)) {
-		otherVersion := func(version string) bool { return !versionAllowed(version) }
-		if other := g.chooseOfVersion(cat, service, otherVersion, tokens, triedUpstreams, now); other != nil {
-			return other
-		}
-	}
-	return u
-}
-
-// chooseOfVersion selects an upstream of the allowed versions. It considers, in this
-// order: healthy engines of this host's cell, if the site is divided into cells; a random
-// part of the healthy upstreams, if there are many hosts; all upstreams. The plain policy
-// always considers all.
-func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
-	mayReceive := cat.Usable
-	if g.backOffs.count.Load() > 0 {
-		mayReceive = func(u *catalog.Upstream) bool { return g.mayReceive(cat, u, now) }
-	}
-	isUsable := func(u *catalog.Upstream) bool {
-		return mayReceive(u) && versionAllowed(u.Version) && !slices.Contains(triedUpstreams, u.ID)
-	}
-	hosts, upstreams := g.HostCount(), cat.UpstreamsOfService(service.Name)
-	isHealthy := func(u *catalog.Upstream) bool {
-		return !u.Expired && isUsable(u) && !g.LoadTracker.IsAvoided(u.ID, now)
-	}
-	// Plain upstreams are few and their requests are short, so all hosts share them.
-	if inOwnCell, divided := g.Cell(); divided && service.Engine != nil && !g.PlainPolicy {
-		cellUpstreams := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return inOwnCell(u.DataCentre, u.ID) && isHealthy(u) })
-		if u := g.chooseAmong(cellUpstreams, service, tokens, hosts, now); u != nil && g.hasRoom(u, service, tokens, now) {
-			return u
-		}
-	}
-	if limit := balance.PreselectionSize(hosts); len(upstreams) > limit && !g.PlainPolicy {
-		if preselected := g.preselect(upstreams, limit, isHealthy); len(preselected) == limit {
-			if u := g.chooseAmong(preselected, service, tokens, hosts, now); u != nil {
-				return u
-			}
-		}
-	}
-	return g.chooseAmong(lo.Filter(upstreams, func(u *catalog.Upstream, _ int) bool { return isUsable(u) }), service, tokens, hosts, now)
-}
-
-// hasRoom reports whether the upstream has capacity for the request.
-func (g *Gateway) hasRoom(u *catalog.Upstream, service *catalog.Service, tokens int, now time.Time) bool {
-	c := g.newCandidate(u, service, g.LoadTracker.Views([]string{u.ID}, now)[0])
-	return !balance.AllFull([]balance.Candidate{c}, tokens)
-}
-
-// preselect returns up to limit eligible upstreams, starting at a random position so
-// that hosts select different ones.
-func (g *Gateway) preselect(all []*catalog.Upstream, limit int, isEligible func(*catalog.Upstream) bool) []*catalog.Upstream {
-	if len(all) == 0 {
-		return nil
-	}
-	g.randomMu.Lock()
-	first := g.random.IntN(len(all))
-	g.randomMu.Unlock()
-	var out []*catalog.Upstream
-	for i := 0; i < len(all) && len(out) < limit; i++ {
-		if u := all[(first+i)%len(all)]; isEligible(u) {
-			out = append(out, u)
-		}
-	}
-	return out
-}
-
-// chooseAmong picks the upstream with the lowest cost, skipping cold ones whose request
-// rate is used up. It modifies candidates.
-func (g *Gateway) chooseAmong(candidates []*catalog.Upstream, service *catalog.Service, tokens, hosts int, now time.Time) *catalog.Upstream {
-	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
-	for len(candidates) > 0 {
-		balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
-		g.randomMu.Lock()
-		best := balance.Pick(balanceCandidates, tokens, hosts, g.random)
-		if g.PlainPolicy {
-			best = balance.PickFewestRequests(views, g.random)
-		}
-		g.randomMu.Unlock()
-		u := candidates[best]
-		if service.ColdRate == 0 || !now.Before(u.ColdUntil) || g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now) {
-			return u
-		}
-		candidates, views = slices.Delete(candidates, best, best+1), slices.Delete(views, best, best+1)
-	}
-	return nil
-}
-
-// shareResolution is the number of steps into which the share of a version is divided.
-const shareResolution = 10_000
-
-// allowedVersions returns a function that reports whether a version may serve the
-// request, and whether the request is one of those on which a version is tried.
-func (g *Gateway) allowedVersions(service, request string) (allowed func(version string) bool, onTrial bool) {
-	rules := g.versionRules.Load()
-	if rules == nil {
-		return func(string) bool { return true }, false
-	}
-	rule, ok := (*rules)[service]
-	if !ok {
-		return func(string) bool { return true }, false
-	}
-	onTrial = !rule.Exclusive && float64(retry.Hash(request+rule.Version)%shareResolution) < rule.Share*shareResolution
-	return func(version string) bool { return (version == rule.Version) == (rule.Exclusive || onTrial) }, onTrial
-}
-
-func (g *Gateway) newCandidate(u *catalog.Upstream, service *catalog.Service, v balance.View) balance.Candidate {
-	c := balance.Candidate{View: v, Local: u.DataCentre == g.DataCentre, Slots: u.Slots, LastResort: u.Expired}
-	if service.Engine != nil {
-		c.MemoryTokens = service.Engine.MemoryTokens
-		if c.Slots == 0 {
-			c.Slots = service.Engine.Slots
-		}
-	}
-	return c
-}
-
 // maySend reports whether the limits of the request and of the service allow one more
 // send. A send counts as a retry once an earlier one has reached an upstream.
 func (c *call) maySend(now time.Time) bool {
