Log an invalid back-off of an engine at most once a minute

It comes in each refusal of the engine, so that a full engine wrote a line for each request. TestInvalidBackOffsAreLoggedOnceAMinute needs the new function.

--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -13,6 +13,8 @@
 	maxBackOff = time.Minute
 	// maxBackOffs bounds the table; further back-offs are ignored.
 	maxBackOffs = 4096
+	// invalidLogInterval is the time between two log lines on invalid values of an upstream.
+	invalidLogInterval = time.Minute
 )
 
 // incarnation identifies one incarnation of an upstream. An upstream that starts again is not
@@ -29,11 +31,15 @@
 type backOffs struct {
 	mu    sync.RWMutex
 	until map[incarnation]time.Time
+	// invalidLoggedAt is when an invalid value was last logged, by incarnation.
+	invalidLoggedAt map[incarnation]time.Time
 	// count is len(until), so that choices take no lock while there are none.
 	count atomic.Int32
 }
 
-func newBackOffs() *backOffs { return &backOffs{until: make(map[incarnation]time.Time)} }
+func newBackOffs() *backOffs {
+	return &backOffs{until: make(map[incarnation]time.Time), invalidLoggedAt: make(map[incarnation]time.Time)}
+}
 
 // add records that an upstream wants no requests for a time. A shorter back-off does not end an
 // earlier one. It reports whether the upstream had none before.
@@ -55,6 +61,20 @@
 	return !now.Before(held)
 }
 
+// shouldLogInvalid reports whether an invalid value of an upstream is to be logged, at most once
+// in invalidLogInterval: it comes in each of its refusals.
+func (b *backOffs) shouldLogInvalid(u *catalog.Upstream, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := incarnationOf(u)
+	last, logged := b.invalidLoggedAt[key]
+	if logged && now.Sub(last) < invalidLogInterval || !logged && len(b.invalidLoggedAt) >= maxBackOffs {
+		return false
+	}
+	b.invalidLoggedAt[key] = now
+	return true
+}
+
 // activeUntil returns until when an upstream wants no requests; false if it takes requests now.
 func (b *backOffs) activeUntil(u *catalog.Upstream, now time.Time) (time.Time, bool) {
 	if b.count.Load() == 0 {
@@ -79,6 +99,11 @@
 		}
 	}
 	b.count.Store(int32(len(b.until)))
+	for key, last := range b.invalidLoggedAt {
+		if now.Sub(last) >= invalidLogInterval {
+			delete(b.invalidLoggedAt, key)
+		}
+	}
 }
 
 // EvictBackOffs deletes the back-offs that are over.
@@ -97,7 +122,7 @@
 // that it wants no requests for a time.
 func (g *Gateway) recordStatements(u *catalog.Upstream, info ResponseInfo) {
 	now := time.Now()
-	if info.InvalidBackOff != "" {
+	if info.InvalidBackOff != "" && g.backOffs.shouldLogInvalid(u, now) {
 		g.Log.Info("back-off of an upstream ignored: the value is invalid", "upstream", u.ID, "value", info.InvalidBackOff)
 	}
 	if info.BackOff > 0 && g.backOffs.add(u, info.BackOff, now) {
