Log each failed fetch of a table and each failed read of the store

A fetch from another host that fails was logged at a level that is not printed, and only the first failed read of the store in a row was logged, without its duration. Waits that add up could not be told from a lost announcement or from a store that does not answer.

Change: both are logged at INFO, with their duration; the fetch also with the revision that the host holds.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -279,7 +279,11 @@
 		startedAt := time.Now()
 		err := errReadPanicked
 		guard.Run(r.Log, "read of table "+r.Table.Name(), func() { err = r.read(ctx, startedAt) })
-		if failed := err != nil && ctx.Err() == nil; failed != storeUnreachable {
+		failed := err != nil && ctx.Err() == nil
+		if failed {
+			r.Log.Info("read of the store failed", "table", r.Table.Name(), "ms", time.Since(startedAt).Milliseconds(), "error", err.Error())
+		}
+		if failed != storeUnreachable {
 			storeUnreachable = failed
 			r.logStoreState(err)
 		}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -349,6 +349,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 		revision, _, _ := t.Status()
+		startedAt := time.Now()
 		var packed follow.Packed
 		err := f.peerClient.Call(ctx, address, methodChanges, changesQuery{Table: t.Name(), Revision: revision}, &packed)
 		var d follow.Delta
@@ -356,7 +357,8 @@
 			d, err = packed.Unpack()
 		}
 		if err != nil {
-			f.log.V(1).Info("table changes could not be fetched from peer", "peer", address, "table", t.Name(), "error", err.Error())
+			f.log.Info("table changes could not be fetched from peer", "peer", address, "table", t.Name(), "held", revision,
+				"ms", time.Since(startedAt).Milliseconds(), "error", err.Error())
 			return
 		}
 		t.Merge(d, time.Now())
