Replace connections between hosts that went silent within half a second

Cause, first part: a call on a connection that went silent waited for its whole time, and the connection was closed only if the call had waited a second or more by a clock that starts after its context. Fetches have exactly one second, so whether the connection was replaced depended on a few microseconds; calls with less time never replaced it.

Change: a call that has waited 0.1 s probes its connection. Any bytes, also those of a long message that is still arriving, show that it works; if nothing arrives within 0.4 s it is closed and the call fails, so that the next one dials. A call that ends without an answer probes the connection too. Older daemons answer the probe with an unknown method, which counts.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -67,16 +67,16 @@
 	if err != nil {
 		return unsentError(address, err)
 	}
+	probe := time.AfterFunc(probeDelay, conn.probe)
+	defer probe.Stop()
 	err = waiter.Wait(ctx, result)
 	switch rpcErr := asRPCError(err); {
 	case err == nil:
 		return nil
 	case rpcErr != nil:
 		return decodeError(rpcErr)
-	case ctx.Err() != nil && time.Since(started) >= stallTimeout && conn.stream.lastReceived().Before(started):
-		// Nothing was received since the call began, so the connection may be stalled.
-		// Closing it makes the next call dial again.
-		_ = conn.rpc.Close()
+	case ctx.Err() != nil && conn.stream.lastReceived().Before(started):
+		go conn.probe() // the call may have been too short for a probe of its own
 	case ctx.Err() == nil && !errors.Is(err, jsonrpc2.ErrClosed):
 		return failure.New(failure.Internal, "decode the response of %s to method %s: %v", address, method, err)
 	}
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -32,8 +32,28 @@
 	diallerAddress string // address of the end that dialled
 	remoteAddress  string
 	establishedAt  time.Time
+	logger         logr.Logger
 	// activeCalls counts the pending calls and running handlers of the connection.
 	activeCalls atomic.Int64
+	probing     atomic.Bool
+}
+
+// probe calls the other end and closes the connection if nothing arrives. A connection that
+// goes silent reports no error by itself, and each further call on it would wait in vain.
+func (c *connection) probe() {
+	if !c.probing.CompareAndSwap(false, true) {
+		return
+	}
+	defer c.probing.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	probedAt := time.Now()
+	err := c.rpc.Call(ctx, methodPing, nil, nil)
+	if ctx.Err() == nil || c.stream.lastReceived().After(probedAt) {
+		return
+	}
+	c.logger.Info("peer connection closed: it was silent", "peer", c.remoteAddress, "error", err.Error())
+	_ = c.rpc.Close()
 }
 
 func (c *connection) closed() bool {
@@ -78,7 +98,7 @@
 
 // addConnection registers an authenticated connection and starts reading its messages.
 func (e *endpoint) addConnection(conn net.Conn, remoteAddress, diallerAddress string) *connection {
-	connection := &connection{stream: newStream(conn, e.options, remoteAddress), diallerAddress: diallerAddress, remoteAddress: remoteAddress, establishedAt: time.Now()}
+	connection := &connection{stream: newStream(conn, e.options, remoteAddress), diallerAddress: diallerAddress, remoteAddress: remoteAddress, establishedAt: time.Now(), logger: e.options.Logger}
 	// Handlers start under the same lock, so that they find the connection that they serve.
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -17,6 +17,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/failure"
@@ -85,12 +86,22 @@
 	writeMu sync.Mutex
 	buf     bytes.Buffer
 
-	mu         sync.Mutex
-	receivedAt time.Time // when the latest message was received
+	received receiveTime
 }
 
 func newStream(conn net.Conn, options *Options, remote string) *stream {
-	return &stream{conn: conn, reader: bufio.NewReader(conn), options: options, localAddress: options.Address, remoteAddress: remote}
+	s := &stream{conn: conn, options: options, localAddress: options.Address, remoteAddress: remote}
+	s.reader = bufio.NewReader(io.TeeReader(conn, &s.received))
+	return s
+}
+
+// receiveTime is a writer that records when it was last written to.
+type receiveTime struct{ at atomic.Pointer[time.Time] }
+
+func (r *receiveTime) Write(p []byte) (int, error) {
+	now := time.Now()
+	r.at.Store(&now)
+	return len(p), nil
 }
 
 // maxRetainedBufferBytes is the largest write buffer that is reused for the next
@@ -129,16 +140,16 @@
 		return err
 	}
 	s.options.Clock.Observe(timestamp)
-	s.mu.Lock()
-	s.receivedAt = time.Now()
-	s.mu.Unlock()
 	return nil
 }
 
+// lastReceived returns when the latest bytes were received. A long message that is still
+// arriving counts.
 func (s *stream) lastReceived() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.receivedAt
+	if at := s.received.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 func (s *stream) Close() error { return s.conn.Close() }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -18,9 +18,14 @@
 	// Redial delays are short, because freshness and leases last only 3 s.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = time.Second
-	// stallTimeout is the minimum time without any received message after which an
-	// pending call closes its connection. Heartbeats arrive twice a second.
-	stallTimeout = time.Second
+	// probeDelay is the time that a call waits before its connection is probed, and probeTimeout
+	// the time within which something must then arrive, or the connection is closed. Together
+	// they leave time for a second try within the second that callers wait.
+	probeDelay   = 100 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
+	// methodPing is the call by which a connection is probed. Any response will do, also that
+	// of an older daemon that does not know the method.
+	methodPing = "peer.ping"
 	// maxHandlersPerConnection limits the handlers that run concurrently for one connection.
 	maxHandlersPerConnection = 4096
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,7 +24,9 @@
 // calls received over connections that the client dialled. Both must be closed.
 func New(options Options) (*Server, *Client) {
 	e := newEndpoint(options.withDefaults())
-	return &Server{endpoint: e}, newClient(e)
+	server := &Server{endpoint: e}
+	server.Handle(methodPing, func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
+	return server, newClient(e)
 }
 
 // Handle sets the handler of a method. It must be called before Serve and before the
