Ask a second host for table changes while the first does not respond

Cause, second part: a host fetched a table from one other host at a time, with up to a second each. The class is time limits in series on one path, each sound alone.

Change: while a fetch has not ended after 0.2 s, the next host that announces newer rows is asked too, up to four at a time; a fetch whose connection turned out to be silent is repeated at once over a new one. The choice is a small type of its own, tableFetches.

Evidence: TestSilentPeersDoNotDelayAChangeOneAfterAnother, on virtual time with up to 89 peers, 30, 70 and 100 in 100 silent: 0.52 s at most. With one fetch at a time of 1 s each it fails at the first case, with 2.18 s.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -34,16 +33,9 @@
 	// evidenceInterval is the interval at which hosts of a divided site send their rollout
 	// evidence to all others; a bad version must be detected within seconds.
 	evidenceInterval = time.Second
-	// fetchTimeout bounds a fetch of table changes from another host.
-	fetchTimeout = time.Second
 	// memoryLimitShare is the fraction of the configured memory that is set as the soft limit of
 	// the Go runtime; the rest is for memory outside it, such as kernel buffers.
 	memoryLimitShare = 0.6
-	// methodChanges is the peer call that fetches changes of a table.
-	methodChanges = "table.changes"
-	// maxConcurrentFetches bounds the fetches that are served concurrently: after a restart of a
-	// large site all peers fetch whole tables.
-	maxConcurrentFetches = 4
 )
 
 // Platform is the interface of the front end to the adapter of the users' platform.
@@ -92,16 +84,15 @@
 	startedAt  time.Time
 	fetchSlots chan struct{}
 
-	fetchMu sync.Mutex
-	// fetching holds the names of the tables with a running fetch.
-	fetching map[string]bool
+	// fetches holds the running fetches by table.
+	fetches map[string]*tableFetches
 }
 
 // New returns a front end that serves once Run is called.
 func New(s *Settings, p Platform, log logr.Logger) *FrontEnd {
 	f := &FrontEnd{
 		settings: s, platform: p, log: log, metrics: gateway.NewMetrics(), loadTracker: balance.NewTracker(),
-		fetching: make(map[string]bool), startedAt: time.Now(), fetchSlots: make(chan struct{}, maxConcurrentFetches),
+		startedAt: time.Now(), fetchSlots: make(chan struct{}, maxServedFetches),
 	}
 	f.pool = hop.NewPool(f.metrics.RecordConnection)
 	f.members = gossip.NewTable(gossip.Member{
@@ -124,6 +115,7 @@
 		f.announceReady()
 	})
 	f.store = p.Store(s.Store.Address, f.metrics.RecordStoreCall)
+	f.fetches = lo.SliceToMap(f.tables(), func(t *follow.Table) (string, *tableFetches) { return t.Name(), newTableFetches() })
 	return f
 }
 
@@ -294,7 +286,7 @@
 			// Every cell has its own reader, from which the changes arrive shortly after
 			// without a transfer between data centres.
 			if !known || f.members.InOwnCell(m.Self.Name) || now.Sub(confirmed) > standbyReadAge {
-				f.fetch(t, m.Self.Name)
+				f.fetch(t, m.Self.Name, now)
 			}
 		} else if peerState.Age >= 0 {
 			t.Confirm(peerState.Revision, now.Add(-time.Duration(peerState.Age)*time.Millisecond))
@@ -302,69 +294,6 @@
 	}
 }
 
-type changesQuery struct {
-	Table    string `json:"table"`
-	Revision uint64 `json:"revision"`
-	// Known is false if the calling host holds no revision of the table yet.
-	Known bool `json:"known"`
-}
-
-func (f *FrontEnd) serveChanges(ctx context.Context, q changesQuery) (follow.Packed, error) {
-	select {
-	case f.fetchSlots <- struct{}{}:
-		defer func() { <-f.fetchSlots }()
-	case <-ctx.Done():
-		return follow.Packed{}, ctx.Err()
-	}
-	for _, t := range f.tables() {
-		if t.Name() != q.Table {
-			continue
-		}
-		if d, ok := t.Since(q.Revision, time.Now()); ok {
-			return follow.Pack(d)
-		}
-	}
-	return follow.Packed{}, errors.New("this host has not loaded the requested table")
-}
-
-// fetch starts a fetch of changes of a table from a host unless one is already running for the table.
-func (f *FrontEnd) fetch(t *follow.Table, peer string) {
-	address, known := f.members.PeerAddress(peer)
-	if !known {
-		return
-	}
-	f.fetchMu.Lock()
-	alreadyFetching := f.fetching[t.Name()]
-	f.fetching[t.Name()] = true
-	f.fetchMu.Unlock()
-	if alreadyFetching {
-		return
-	}
-	go guard.Run(f.log, "fetch of table changes", func() {
-		defer func() {
-			f.fetchMu.Lock()
-			f.fetching[t.Name()] = false
-			f.fetchMu.Unlock()
-		}()
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		defer cancel()
-		revision, _, _ := t.Status()
-		startedAt := time.Now()
-		var packed follow.Packed
-		err := f.peerClient.Call(ctx, address, methodChanges, changesQuery{Table: t.Name(), Revision: revision}, &packed)
-		var d follow.Delta
-		if err == nil {
-			d, err = packed.Unpack()
-		}
-		if err != nil {
-			f.log.Info("table changes could not be fetched from peer", "peer", address, "table", t.Name(), "held", revision,
-				"ms", time.Since(startedAt).Milliseconds(), "error", err.Error())
-			return
-		}
-		t.Merge(d, time.Now())
-	})
-}
-
 // mirrorTable reads a table from the store while needed returns true and this host is one of
 // the readers, or while no reader has reached the store recently.
 func (f *FrontEnd) mirrorTable(ctx context.Context, t *follow.Table, minReadInterval time.Duration, needed func() bool) {
