Let a host that stays behind its peers read the store after 0.7 s

Change: a host remembers since when another one has had newer rows, and reads the store once, without waiting for changes, 0.7 s later. It is cleared when the host has caught up or when the store has confirmed its rows since.

Evidence: TestHostBehindItsPeersReadsTheStoreInTime failed before from 7 hosts on.

--- a/internal/frontend/fetch.go
+++ b/internal/frontend/fetch.go
@@ -33,6 +33,10 @@
 	mu sync.Mutex
 	// running holds the start of the running fetches by host.
 	running map[string]time.Time
+	// announced is the newest revision that another host has announced. behindSince is since
+	// when a revision that was newer than the own table's has been known.
+	announced   uint64
+	behindSince time.Time
 }
 
 func newTableFetches() *tableFetches { return &tableFetches{running: make(map[string]time.Time)} }
@@ -63,6 +67,31 @@
 	delete(f.running, host)
 }
 
+// recordAnnounced records that another host has announced a newer revision than that of the table.
+func (f *tableFetches) recordAnnounced(revision uint64, t *follow.Table, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.behindLocked(t).IsZero() {
+		f.behindSince = now
+	}
+	f.announced = max(f.announced, revision)
+}
+
+// behind returns since when another host has had newer rows than the table; zero if none has.
+func (f *tableFetches) behind(t *follow.Table) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behindLocked(t)
+}
+
+func (f *tableFetches) behindLocked(t *follow.Table) time.Time {
+	// A revision that was announced before the store confirmed the table is included in it.
+	if _, confirmedAt, _ := t.Status(); confirmedAt.After(f.behindSince) || f.announced <= t.ContentRevision() {
+		return time.Time{}
+	}
+	return f.behindSince
+}
+
 type changesQuery struct {
 	Table    string `json:"table"`
 	Revision uint64 `json:"revision"`
--- a/internal/frontend/fetch_test.go
+++ b/internal/frontend/fetch_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/follow"
 )
 
 // silentFetchDuration is how long a fetch takes whose connection is silent and replaced; see
@@ -92,3 +94,25 @@
 	fetches.end("a")
 	require.True(t, fetches.begin("z", later))
 }
+
+// Guards against a host that is taken for one behind its peers although it caught up or the store
+// confirmed its rows since, and reads the store without end.
+func TestHostIsBehindUntilItCaughtUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table, fetches := follow.NewTable("t", nil), newTableFetches()
+	table.Replace([]follow.Row{{Key: "a", Revision: 5}}, 5, now)
+	require.Zero(t, fetches.behind(table))
+
+	fetches.recordAnnounced(6, table, now.Add(time.Second))
+	fetches.recordAnnounced(7, table, now.Add(2*time.Second))
+	require.Equal(t, now.Add(time.Second), fetches.behind(table), "since the first announcement")
+	table.Apply([]follow.Row{{Key: "a", Revision: 6}}, 6, now.Add(time.Second))
+	require.Equal(t, now.Add(time.Second), fetches.behind(table))
+	table.Apply([]follow.Row{{Key: "a", Revision: 7}}, 7, now.Add(time.Second))
+	require.Zero(t, fetches.behind(table), "caught up")
+
+	fetches.recordAnnounced(9, table, now.Add(3*time.Second))
+	require.NotZero(t, fetches.behind(table))
+	table.Apply(nil, 9, now.Add(4*time.Second))
+	require.Zero(t, fetches.behind(table), "the store has confirmed the rows since")
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -283,6 +283,7 @@
 			continue
 		}
 		if _, confirmed, known := t.Status(); !known || peerState.Revision > t.ContentRevision() {
+			f.fetches[t.Name()].recordAnnounced(peerState.Revision, t, now)
 			// Every cell has its own reader, from which the changes arrive shortly after
 			// without a transfer between data centres.
 			if !known || f.members.InOwnCell(m.Self.Name) || now.Sub(confirmed) > standbyReadAge {
@@ -308,7 +309,7 @@
 			_, confirmed, known := t.Status()
 			return duty.shouldRead(readSituation{
 				now: now, startedAt: f.startedAt, rank: rank, standbyRank: standbyRank, readers: f.cellReaderCount(),
-				isSeed: f.isSeed(), confirmedAt: confirmed, known: known,
+				isSeed: f.isSeed(), confirmedAt: confirmed, known: known, behindSince: f.fetches[t.Name()].behind(t),
 			})
 		},
 	}
--- a/internal/frontend/readduty.go
+++ b/internal/frontend/readduty.go
@@ -16,6 +16,9 @@
 	// standbyReadAge, so that it stops if the regular readers are back, or if several hosts
 	// have stepped in at once.
 	readTerm = 4 * time.Second
+	// catchUpAge is how long a host waits for rows that another host has announced before it
+	// reads the store itself. Fetches over silent connections take less.
+	catchUpAge = 700 * time.Millisecond
 	// startReadDelay is how long a starting host waits for its peers' tables before it reads
 	// whole tables from the store. startReadStagger is added per host of lower rank.
 	startReadDelay   = 250 * time.Millisecond
@@ -34,28 +37,33 @@
 	// the table is not loaded.
 	confirmedAt time.Time
 	known       bool
+	// behindSince is since when another host has newer rows than this one; zero if none has.
+	behindSince time.Time
 }
 
 // readDuty decides whether a host reads a table from the store. A few hosts read for all;
 // others step in, one after another, while no reader reaches the store. It answers hosts that
 // live and talk to each other, but are cut from the store: a host that steps in must go on
-// reading, or each change would wait until the table is old again. It is used by one goroutine.
+// reading, or each change would wait until the table is old again. It also answers a host that
+// hears of newer rows but can not fetch them: it reads once, whatever its rank, since the others
+// confirm that the store is read. It is used by one goroutine.
 type readDuty struct {
 	// termEnd is the end of the term of a host that has stepped in; zero if it has none.
 	termEnd time.Time
-	// firstRead is set until the first read of the term has ended.
-	firstRead bool
+	// firstRead is set until the first read of the term has ended, and catchingUp until the
+	// read of a host that is behind has ended.
+	firstRead, catchingUp bool
 }
 
 // mayWait reports whether the store may hold the next read open while there are no changes.
 // The first read of a term must confirm the table at once, or further hosts step in.
-func (d *readDuty) mayWait() bool { return !d.firstRead }
+func (d *readDuty) mayWait() bool { return !d.firstRead && !d.catchingUp }
 
 // recordRead records the end of a read. It ends the term of a host whose read failed, since
 // others may reach the store, and reports whether the other hosts should hear of it at once.
 func (d *readDuty) recordRead(err error) (announce bool) {
 	announce = d.firstRead && err == nil
-	d.firstRead = false
+	d.firstRead, d.catchingUp = false, false
 	if err != nil {
 		d.termEnd = time.Time{}
 	}
@@ -72,6 +80,9 @@
 		return sinceStart > startReadDelay+time.Duration(s.rank)*startReadStagger
 	case s.now.Before(d.termEnd):
 		return true
+	case !s.behindSince.IsZero() && s.now.Sub(s.behindSince) > catchUpAge:
+		d.catchingUp = true
+		return true
 	}
 	wait := standbyReadAge
 	if justRead := s.now.Sub(d.termEnd) < readTerm; !justRead {
--- a/internal/frontend/readduty_test.go
+++ b/internal/frontend/readduty_test.go
@@ -156,3 +156,23 @@
 		}
 	}
 }
+
+// Guards against a host that can not fetch what other hosts have, and waits before it reads the
+// store for each host before it in rank, although those are not behind.
+func TestHostBehindItsPeersReadsTheStoreInTime(t *testing.T) {
+	const bound = 900 * time.Millisecond // of 2 s, less 1.1 s until a reader has the change
+	for _, hosts := range []int{7, 9, 59, 90} {
+		now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+		s := readSituation{now: now, startedAt: now.Add(-time.Hour), rank: hosts - 1, standbyRank: hosts - 1, readers: 2, confirmedAt: now, behindSince: now, known: true}
+		var duty readDuty
+		for !duty.shouldRead(s) {
+			s.now = s.now.Add(simulatedStep)
+			if !assert.LessOrEqual(t, s.now.Sub(now), bound, "%d hosts", hosts) {
+				break
+			}
+		}
+		assert.False(t, duty.mayWait(), "the answer must come at once")
+		assert.False(t, duty.recordRead(nil), "the other hosts have the rows")
+		assert.True(t, duty.mayWait())
+	}
+}
