Keep to the request limits that upstreams name, over all hosts together

Cause: nothing read the header, and a limit of all hosts together is no decision of one host.

Change: package upstreamlimit divides a limit into equal shares of the hosts seen in the last minute. Below one request a second a host has one slot in each period; the slots follow each other by the hosts' names and the time of day, so that no message is needed for a send and restarts, cuts and late messages change little. A limit, and its end, is told to all hosts at once. Choices and moves of streams skip upstreams whose share is used up; if all limit their requests callers are refused at once, with a Retry-After that spreads them over the time in which all hosts together get one more request. docs/decisions/request-limits.md has the ways weighed.

Evidence: TestHostsTogetherKeepToTheLimitOfAnUpstream (three hosts, 2 a second, 17 allowed in 4 s) failed before with 1146; simulations of 1 to 300 hosts with wrong clocks, restarts and wrong counts stay within the bound (TestHostsShareALimit).

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -21,6 +21,7 @@
 	DataCentreOut    Kind = "data-centre-out"
 	StaleUpstreams   Kind = "stale-upstream-list"
 	EnginesFull      Kind = "engines-full"
+	EnginesLimited   Kind = "engines-limited"
 	NoEngine         Kind = "no-engine"
 	Unreachable      Kind = "engines-unreachable"
 	EngineLeft       Kind = "engine-left"
@@ -115,6 +116,9 @@
 	case strings.Contains(f.reason, "crashed upstreams"):
 		return Cause{Quarantined, "equal requests had crashed upstreams", nil, "ask the client account to stop sending this request"}
 	}
+	if strings.Contains(f.reason, "limit their requests") {
+		return Cause{EnginesLimited, "all upstreams of the service take fewer requests per second than came", nil, "see the log lines \"upstream limits its requests\" for the upstreams and their limits; add upstreams"}
+	}
 	return f.notServed()
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -104,7 +104,7 @@
 	f.gateway = gateway.New(gateway.Options{
 		PlainPolicy: s.Policy == PolicyPlain, CopyScheduler: f.copyScheduler, OnOutcome: f.rollouts.recordOutcome, AnnounceNotices: f.announce, ScheduleReport: f.sendToAllNextRound, Cell: f.ownCell,
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
-		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.liveHostCount, Metrics: f.metrics, Log: log,
+		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.liveHostCount, LimitPosition: f.members.LimitPosition, Metrics: f.metrics, Log: log,
 	})
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
 	f.catalog = p.Catalog(log, func(c *catalog.Catalog) {
@@ -248,6 +248,7 @@
 	m.Losses = f.gateway.Suspects().OwnCounts()
 	m.PromptParts = f.gateway.PromptParts().OwnReport(now)
 	m.Notices = f.gateway.Notices()
+	m.Limits = f.gateway.Limits().Report(now)
 	m.Tables = make(map[string]gossip.TableState, 2)
 	for _, t := range f.tables() {
 		_, confirmed, known := t.Status()
@@ -277,6 +278,7 @@
 	f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
+	f.gateway.Limits().Merge(m.Limits, now)
 	for _, t := range f.tables() {
 		peerState, ok := m.Tables[t.Name()]
 		if !ok {
@@ -371,6 +373,7 @@
 	f.gateway.Suspects().Evict(now, f.liveHosts(now))
 	f.gateway.PromptParts().Evict(now)
 	f.gateway.EvictBackOffs(now)
+	f.gateway.Limits().Evict(now)
 	upstreams := f.gateway.Catalog().Upstreams
 	f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
 }
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -119,8 +119,9 @@
 }
 
 // recordStatements records what an upstream says of itself in a response: that it leaves, or
-// that it wants no requests for a time.
-func (g *Gateway) recordStatements(u *catalog.Upstream, info ResponseInfo) {
+// that it wants no requests for a time, or how many requests per second it takes. sentAt is when
+// the request was sent.
+func (g *Gateway) recordStatements(u *catalog.Upstream, info ResponseInfo, sentAt time.Time) {
 	now := time.Now()
 	if info.InvalidBackOff != "" && g.backOffs.shouldLogInvalid(u, now) {
 		g.Log.Info("back-off of an upstream ignored: the value is invalid", "upstream", u.ID, "value", info.InvalidBackOff)
@@ -129,6 +130,7 @@
 		g.Log.Info("upstream wants no requests for a time", "upstream", u.ID, "for", min(info.BackOff, maxBackOff))
 		g.Metrics.RecordStatement("back-off")
 	}
+	g.recordLimit(u, info, sentAt, now)
 	if info.Leaving {
 		g.recordLeaveNotice(u, "response")
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -83,8 +83,8 @@
 	return out
 }
 
-// chooseAmong picks the upstream with the lowest cost, skipping cold ones whose request
-// rate is used up. It modifies candidates.
+// chooseAmong picks the upstream with the lowest cost, skipping cold ones and ones that limit
+// their requests if this host's share of the rate is used up. It modifies candidates.
 func (g *Gateway) chooseAmong(candidates []*catalog.Upstream, service *catalog.Service, tokens, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
 	for len(candidates) > 0 {
@@ -96,7 +96,8 @@
 		}
 		g.randomMu.Unlock()
 		u := candidates[best]
-		if service.ColdRate == 0 || !now.Before(u.ColdUntil) || g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now) {
+		cold := service.ColdRate > 0 && now.Before(u.ColdUntil)
+		if (!cold || g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now)) && g.takeFromLimit(u, now) {
 			return u
 		}
 		candidates, views = slices.Delete(candidates, best, best+1), slices.Delete(views, best, best+1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
+	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
 
 const (
@@ -54,6 +55,9 @@
 	AnnounceNotices, ScheduleReport func()
 	// HostCount returns the number of hosts that share the limits, including this one.
 	HostCount func() int
+	// LimitPosition returns this host's place among the hosts that share the request limits of
+	// upstreams.
+	LimitPosition func() upstreamlimit.Position
 	// Cell returns which upstreams belong to this host's cell; divided is false if all
 	// hosts share all upstreams. The loads of upstreams in other cells are known less
 	// accurately.
@@ -87,6 +91,7 @@
 	suspects     *Suspects
 	promptParts  *promptparts.Table
 	backOffs     *backOffs
+	limits       *upstreamlimit.Table
 	streams      *streamSet
 	bodies       bodyBuffer
 
@@ -104,7 +109,7 @@
 // New returns a gateway without a catalog; it refuses requests until Publish is called.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), promptParts: promptparts.NewTable(), backOffs: newBackOffs(), streams: newStreamSet(),
+		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), promptParts: promptparts.NewTable(), backOffs: newBackOffs(), limits: upstreamlimit.NewTable(), streams: newStreamSet(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.notices.received = make(map[catalog.LeaveNotice]receivedNotice)
--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -263,16 +263,19 @@
 
 // destinations returns the engines with room for the stream, the one with the most free
 // memory first. It prefers engines of this host's cell, then those in the data centre of
-// the source, then those in other data centres, where a copy takes twice as long.
+// the source, then those in other data centres, where a copy takes twice as long, and last one
+// that limits its requests, if this host's share of the limit allows it.
 func (g *Gateway) destinations(s *stream, source *catalog.Upstream, service *catalog.Service) []migration.Destination {
 	cat, now := g.Catalog(), time.Now()
 	inOwnCell, divided := g.Cell()
-	var inCell, inDataCentre, elsewhere []string
+	var inCell, inDataCentre, elsewhere, limited []string
 	for _, u := range cat.UpstreamsOfService(source.Service) {
 		if u.ID == source.ID || !g.mayReceive(cat, u, now) || u.Expired || slices.Contains(s.fullEngines, u.ID) {
 			continue
 		}
 		switch {
+		case g.limits.Limited(limitedUpstream(u), now):
+			limited = append(limited, u.ID)
 		case u.DataCentre != source.DataCentre:
 			elsewhere = append(elsewhere, u.ID)
 		case divided && inOwnCell(u.DataCentre, u.ID):
@@ -286,6 +289,11 @@
 			return found
 		}
 	}
+	for _, d := range g.destinationsAmong(limited, s, cat, service) {
+		if g.takeFromLimit(cat.Upstreams[d.Engine], now) {
+			return []migration.Destination{d}
+		}
+	}
 	return nil
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -132,7 +132,7 @@
 }
 
 // retryAfterRefusal is the delay after which a refused request may be retried. If all upstreams
-// want no requests for a time it is that time and up to half of it more, so that callers do not
+// limit their requests, see retryAfterLimits. If all want no requests for a time it is that time and up to half of it more, so that callers do not
 // all return at once.
 func (c *call) retryAfterRefusal() time.Duration {
 	now := time.Now()
@@ -140,5 +140,8 @@
 		wait := end.Sub(now)
 		return wait + time.Duration(rand.Float64()*float64(wait/2))
 	}
+	if wait, limited := c.g.retryAfterLimits(c.g.Catalog(), c.service.Name, now); limited {
+		return wait
+	}
 	return c.route.LatencyTarget / 4
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,6 +38,7 @@
 	errUnsignedResponse = errors.New("upstream answered without a signature; the answer is not passed on")
 	errUpstreamFailed   = errors.New("upstream failed")
 	errNoUpstream       = errors.New("no upstream is available")
+	errAllLimited       = errors.New("all upstreams limit their requests, and this host's share is used up")
 	errTargetLeft       = errors.New("the upstream began to leave, or to refuse requests for a time, before the request was sent")
 )
 
@@ -74,6 +75,9 @@
 		}
 		u := c.chooseUpstream(now)
 		if u == nil {
+			if _, limited := c.g.retryAfterLimits(c.g.Catalog(), c.service.Name, now); limited && c.sends == 0 {
+				return errAllLimited
+			}
 			break
 		}
 		c.triedUpstreams = append(c.triedUpstreams, u.ID)
@@ -138,7 +142,7 @@
 		return nil, c.recordExchangeFailure(u, err), err
 	}
 	info := c.g.Protocol.Response(response.Status, response.Header)
-	c.g.recordStatements(u, info)
+	c.g.recordStatements(u, info, now)
 	if info.NotRun {
 		response.Drain()
 		c.g.LoadTracker.RecordFailure(u.ID, now)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -65,6 +65,11 @@
 	// 0 is none. InvalidBackOff is the start of a value that could not be read.
 	BackOff        time.Duration
 	InvalidBackOff string
+	// RequestLimit is the number of requests per second that the upstream takes from all hosts
+	// together; negative if it states no limit, nil if that is not known. InvalidLimit is the
+	// start of a value that could not be read.
+	RequestLimit *float64
+	InvalidLimit string
 }
 
 // Protocol translates between the platform's headers and the gateway. Its methods are
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -16,6 +16,7 @@
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
+	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
 
 // State is the state that a host reports of itself.
@@ -88,6 +89,8 @@
 	Notices []catalog.LeaveNotice `msgpack:"-"`
 	// PromptParts is what the sender has seen of prompt parts that crash engines.
 	PromptParts promptparts.Report `msgpack:"-"`
+	// Limits is what upstreams said to the sender about the requests per second they take.
+	Limits []upstreamlimit.Statement `msgpack:"-"`
 	// WantsAddresses asks the receiver for the members of its cell with their addresses.
 	WantsAddresses bool `msgpack:"-"`
 }
@@ -428,6 +431,21 @@
 	return e.member.PeerAddress, true
 }
 
+// LimitPosition returns this host's place, by name, among the hosts that share the limits of
+// upstreams. Hosts that were seen in the last minute count, also failed ones: they may be cut off
+// from this host only, and use their share.
+func (t *Table) LimitPosition() upstreamlimit.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := upstreamlimit.Position{Hosts: len(t.others) + 1}
+	for name := range t.others {
+		if name < t.self.Name {
+			p.Rank++
+		}
+	}
+	return p
+}
+
 // Rank returns this host's rank by name, from 0, among the live hosts that are not draining.
 func (t *Table) Rank(now time.Time) int { return t.rank(t.Live(now)) }
 
--- a/internal/gossip/version_test.go
+++ b/internal/gossip/version_test.go
@@ -10,6 +10,7 @@
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
+	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
 
 // firstMember and firstMessage are the first version of the message format.
@@ -55,7 +56,8 @@
 	withoutAge.Age = 0
 	require.Equal(t, Message{Self: withoutAge, Others: []Member{withoutAge}, Tables: tables, Content: NoLoads}, decoded)
 
-	sent := Message{Self: withoutAge, Others: []Member{now}, Tables: tables, Content: NoLoads, Notices: []catalog.LeaveNotice{{Upstream: "i-1", Incarnation: 3}}}
+	sent := Message{Self: withoutAge, Others: []Member{now}, Tables: tables, Content: NoLoads, Notices: []catalog.LeaveNotice{{Upstream: "i-1", Incarnation: 3}},
+		Limits: []upstreamlimit.Statement{{Upstream: "i-2", Incarnation: 4, PerSecond: 2.5, Age: 30}}}
 	data, err := sent.encode()
 	require.NoError(t, err)
 	var decodedByOldHost firstMessage
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -35,13 +35,16 @@
 		return nil, err
 	}
 	err := encoder.Encode(&e)
-	hasParts := len(m.PromptParts.Crashes)+len(m.PromptParts.Answers) > 0
-	if err == nil && (m.WantsAddresses || hasParts) {
+	hasParts, hasLimits := len(m.PromptParts.Crashes)+len(m.PromptParts.Answers) > 0, len(m.Limits) > 0
+	if err == nil && (m.WantsAddresses || hasParts || hasLimits) {
 		err = encoder.Encode(&requests{Addresses: m.WantsAddresses})
 	}
-	if err == nil && hasParts {
+	if err == nil && (hasParts || hasLimits) {
 		err = encoder.Encode(&m.PromptParts)
 	}
+	if err == nil && hasLimits {
+		err = encoder.Encode(m.Limits)
+	}
 	return data.Bytes(), err
 }
 
@@ -62,6 +65,9 @@
 	if err := decoder.Decode(&m.PromptParts); err != nil && !errors.Is(err, io.EOF) {
 		return m, err
 	}
+	if err := decoder.Decode(&m.Limits); err != nil && !errors.Is(err, io.EOF) {
+		return m, err
+	}
 	m.Notices, m.WantsAddresses = e.Notices, r.Addresses
 	for i := range min(len(e.MemberAges), len(m.Others)) {
 		m.Others[i].Age = e.MemberAges[i]
