Send no request late in a drain that may be cut at its end

Cause: a draining host took a request if its latency target, or the largest output of a stream at the usual speed, fitted into the rest of the drain. A slow upstream needs more, up to the deadline of the request.

Change: once callers know of the stop, all of the time of the request must fit. A request that no upstream has run is not sent again either if it may be cut; it is refused as not run, and the caller goes to another host.

Evidence: TestDrainingHostSendsNoRequestThatItMayCut failed before (the late request was sent) and passes. TestDrainingHostAcceptsOnlyRequestsWithBoundedLength demanded that a stream of 100 tokens with a deadline of 15 s is taken 5 s before the end, which is not certain to end; it now demands that this one is refused and that one with a deadline of 3 s is taken.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -346,7 +346,7 @@
 		c.refuse(errCrashingPart.Error(), maxRetryAfter)
 		return false
 	}
-	if drain := c.g.drain.Load(); drain != nil && !c.endsBeforeDrain(drain, time.Now()) {
+	if c.mayBeCut(time.Now()) {
 		c.refuse("the host is stopping", drainingRetryAfter)
 		return false
 	}
@@ -359,21 +359,25 @@
 	return retry.Hash(c.account + "\x00" + c.r.RequestURI + "\x00" + string(c.body))
 }
 
-// endsBeforeDrain reports whether a draining host may accept the request. Once
-// strictFrom has passed it assumes the maximum output length, since estimates are right
-// only at the median.
+// endsBeforeDrain reports whether a draining host may send the request. Once strictFrom has
+// passed all of the request's time must be left, since an upstream may need it.
 func (c *call) endsBeforeDrain(period *drainPeriod, now time.Time) bool {
+	if !now.Before(period.strictFrom) {
+		return !c.deadline.After(period.end)
+	}
 	duration := c.route.LatencyTarget
 	if c.route.Kind == catalog.Stream {
-		tokens := c.expectedOutputTokens()
-		if !now.Before(period.strictFrom) {
-			tokens = max(tokens, c.info.MaxOutputTokens)
-		}
-		duration += time.Duration(tokens) * expectedTokenInterval
+		duration += time.Duration(c.expectedOutputTokens()) * expectedTokenInterval
 	}
 	return !now.Add(duration).After(period.end)
 }
 
+// mayBeCut reports whether this host is draining and may end before the request does.
+func (c *call) mayBeCut(now time.Time) bool {
+	period := c.g.drain.Load()
+	return period != nil && !c.endsBeforeDrain(period, now)
+}
+
 // expectedOutputTokens estimates the output length of a generation.
 func (c *call) expectedOutputTokens() int {
 	if c.info.LengthHint > 0 {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,6 +70,9 @@
 		if c.ctx.Err() != nil || !c.maySend(now) {
 			break
 		}
+		if c.sends > 0 && c.attempts == 0 && c.mayBeCut(now) {
+			break // another host can still run it
+		}
 		if c.hasCrashingPart() {
 			return errCrashingPart
 		}
