Show that a response whose head is cut is no response

It can not happen here: a cut at every byte of a head, with a length, chunks or neither, and with both line endings, is an error of the exchange. The test passed at once; no code is changed.

--- a/internal/hop/faults_test.go
+++ b/internal/hop/faults_test.go
@@ -296,3 +296,29 @@
 	require.ErrorAs(t, err, &failed)
 	assert.Equal(t, NotSent, failed.Progress)
 }
+
+// Guards against a response whose head was cut anywhere and that is taken for a complete one, with
+// an empty or a short body.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 8000\r\nX-Signature: abc\r\nX-Folded: a\r\n b\r\n\r\n"
+	for _, framing := range []string{"Content-Length: 8000", "Transfer-Encoding: chunked", "Connection: close"} {
+		full := strings.Replace(head, "Content-Length: 8000", framing, 1)
+		for _, text := range []string{full, strings.ReplaceAll(full, "\r\n", "\n")} {
+			cut := 0
+			address := startUpstream(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, text[:cut])
+				}
+			})
+			pool := NewPool(nil)
+			for cut = range len(text) {
+				response, err := pool.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", ID: "r1"})
+				if err == nil {
+					response.Close()
+				}
+				require.Error(t, err, "cut after %q", text[:cut])
+			}
+			pool.Close()
+		}
+	}
+}
