Refuse at once what upstreams beside limited ones have no room for

Cause: an upstream that is full was chosen all the same, since every other one was excluded by its limit.

Change: after upstreams were skipped for their limits, one that would be used above 1.3 of its capacity is not chosen; the request is refused at once as not run.

Evidence: the last part of TestCallersAreRefusedAtOnceBeyondTheLimit fails without the bound.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -145,6 +145,12 @@
 	return sample
 }
 
+// Overloaded reports whether a request that holds the given tokens of memory would use more than
+// the given share of the candidate's capacity.
+func Overloaded(c Candidate, tokens int, share float64) bool {
+	return c.projectedUtilisation(tokens) > share
+}
+
 // AllFull reports whether no candidate has capacity for a request that holds the given
 // tokens of memory.
 func AllFull(candidates []Candidate, tokens int) bool {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -117,7 +117,7 @@
 		return Cause{Quarantined, "equal requests had crashed upstreams", nil, "ask the client account to stop sending this request"}
 	}
 	if strings.Contains(f.reason, "limit their requests") {
-		return Cause{EnginesLimited, "all upstreams of the service take fewer requests per second than came", nil, "see the log lines \"upstream limits its requests\" for the upstreams and their limits; add upstreams"}
+		return Cause{EnginesLimited, "upstreams of the service take fewer requests per second than came, and the others had no room", nil, "see the log lines \"upstream limits its requests\" for the upstreams and their limits; add upstreams"}
 	}
 	return f.notServed()
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -83,10 +83,16 @@
 	return out
 }
 
+// maxShareBesideLimits is the share of an upstream's capacity up to which it takes requests in place
+// of upstreams that limit theirs. It answers services of which most upstreams are limited: the
+// requests beyond the limits would all queue at the others until their time is over.
+const maxShareBesideLimits = 1.3
+
 // chooseAmong picks the upstream with the lowest cost, skipping cold ones and ones that limit
 // their requests if this host's share of the rate is used up. It modifies candidates.
 func (g *Gateway) chooseAmong(candidates []*catalog.Upstream, service *catalog.Service, tokens, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
+	skippedLimited := false
 	for len(candidates) > 0 {
 		balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
 		g.randomMu.Lock()
@@ -97,7 +103,13 @@
 		g.randomMu.Unlock()
 		u := candidates[best]
 		cold := service.ColdRate > 0 && now.Before(u.ColdUntil)
-		if (!cold || g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now)) && g.takeFromLimit(u, now) {
+		switch {
+		case skippedLimited && balance.Overloaded(balanceCandidates[best], tokens, maxShareBesideLimits):
+			return nil
+		case cold && !g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now):
+		case !g.takeFromLimit(u, now):
+			skippedLimited = true
+		default:
 			return u
 		}
 		candidates, views = slices.Delete(candidates, best, best+1), slices.Delete(views, best, best+1)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -40,23 +40,29 @@
 	return g.limits.Take(limitedUpstream(u), g.LimitSharers, now)
 }
 
-// retryAfterLimits returns when a caller that was refused because all upstreams of the service
-// limit their requests should return: after the time in which all hosts together get one more
-// request, and up to as much again, so that callers do not all return at once. It returns false
-// if an upstream takes requests without a limit, or none is in use.
-func (g *Gateway) retryAfterLimits(cat *catalog.Catalog, service string, now time.Time) (time.Duration, bool) {
-	total := 0.0
+// limitsOf returns how many upstreams of a service that may receive requests limit them, how many
+// do not, and the sum of the limits in requests per second.
+func (g *Gateway) limitsOf(cat *catalog.Catalog, service string, now time.Time) (limited, unlimited int, total float64) {
 	for _, u := range cat.UpstreamsOfService(service) {
 		if !g.mayReceive(cat, u, now) {
 			continue
 		}
-		perSecond, limited := g.limits.Limit(limitedUpstream(u), now)
-		if !limited {
-			return 0, false
+		if perSecond, ok := g.limits.Limit(limitedUpstream(u), now); ok {
+			limited, total = limited+1, total+perSecond
+		} else {
+			unlimited++
 		}
-		total += perSecond
 	}
-	if total == 0 {
+	return limited, unlimited, total
+}
+
+// retryAfterLimits returns when a caller that was refused because all upstreams of the service
+// limit their requests should return: after the time in which all hosts together get one more
+// request, and up to as much again, so that callers do not all return at once. It returns false
+// if an upstream takes requests without a limit, or none is in use.
+func (g *Gateway) retryAfterLimits(cat *catalog.Catalog, service string, now time.Time) (time.Duration, bool) {
+	limited, unlimited, total := g.limitsOf(cat, service, now)
+	if limited == 0 || unlimited > 0 {
 		return 0, false
 	}
 	wait := min(time.Duration(float64(time.Second)/total), maxRetryAfter)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,7 +38,7 @@
 	errUnsignedResponse = errors.New("upstream answered without a signature; the answer is not passed on")
 	errUpstreamFailed   = errors.New("upstream failed")
 	errNoUpstream       = errors.New("no upstream is available")
-	errAllLimited       = errors.New("all upstreams limit their requests, and this host's share is used up")
+	errLimited          = errors.New("upstreams limit their requests, this host's share is used up, and no other upstream has room")
 	errTargetLeft       = errors.New("the upstream began to leave, or to refuse requests for a time, before the request was sent")
 )
 
@@ -78,8 +78,8 @@
 		}
 		u := c.chooseUpstream(now)
 		if u == nil {
-			if _, limited := c.g.retryAfterLimits(c.g.Catalog(), c.service.Name, now); limited && c.sends == 0 {
-				return errAllLimited
+			if limited, _, _ := c.g.limitsOf(c.g.Catalog(), c.service.Name, now); limited > 0 && c.sends == 0 {
+				return errLimited
 			}
 			break
 		}
