Keep the slots of a request limit while it varies little

Found by reading: an upstream may state another limit in each answer. Each one then numbered all slots anew, which gave every host another chance at the current slot, and was logged and announced to all hosts at once.

Change: shares are computed from a rate, the next lower power of 1.1 of the limit, kept while the limit is between 0.95 and 1.2 of it.

Evidence: TestLimitHoldsWhileItIsStated demands it and failed before; TestHostsShareALimit now varies the limit by up to a tenth in each answer and keeps its bounds.

--- a/internal/upstreamlimit/table.go
+++ b/internal/upstreamlimit/table.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// usedFraction is the part of a limit that the hosts use. The rest is a margin for hosts
+	// usedFraction is the part of the rate that the hosts use. The rest is a margin for hosts
 	// whose views of the site or whose clocks differ.
 	usedFraction = 0.95
 	// minPerSecond replaces lower limits: an upstream that gets no requests can not lift its
@@ -37,6 +37,11 @@
 	// slots, all together may send extraBurst requests more.
 	burstTime  = time.Second
 	extraBurst = 2.0
+	// rateStep is the ratio of the rates that hosts use. An upstream may state another limit in each
+	// answer; the rate is kept while the limit is within rateBand of it.
+	rateStep    = 1.1
+	minRateBand = 0.95
+	maxRateBand = 1.2
 	// maxEntries bounds the table, and maxReported a report; further limits are ignored.
 	maxEntries  = 4096
 	maxReported = 256
@@ -104,7 +109,9 @@
 }
 
 type entry struct {
-	perSecond float64
+	// perSecond is the stated limit, and rate the one from which the shares are computed, which
+	// is mostly the same at all hosts.
+	perSecond, rate float64
 	// statedAt is the time of the latest known statement, ownStatedAt of the latest to this host.
 	statedAt, ownStatedAt time.Time
 	// tokens is the content of the bucket of a share of one request per second or more.
@@ -137,7 +144,7 @@
 
 // Record records the limit that an upstream stated in an answer to this host, or that it stated
 // none (perSecond is negative). sentAt is when the request was sent. It reports whether the
-// limit is new, has changed or was lifted.
+// limit is new, has changed much or was lifted.
 func (t *Table) Record(u Upstream, perSecond float64, sentAt, now time.Time) (changed bool) {
 	if perSecond < 0 && t.count.Load() == 0 {
 		return false
@@ -189,14 +196,22 @@
 	} else {
 		perSecond = lifted
 	}
-	changed = !e.limits(now) && perSecond >= 0 || e.perSecond != perSecond
+	held := e.limits(now) && perSecond >= minRateBand*e.rate && perSecond <= maxRateBand*e.rate
+	changed = !held && (e.limits(now) || perSecond >= 0)
 	if changed { // slots of another length have other numbers
 		e.checkedSlot, e.ownSlots = 0, nil
+		e.rate = roundDown(perSecond)
 	}
 	e.perSecond, e.statedAt = perSecond, statedAt
 	return changed
 }
 
+// roundDown returns the next lower power of rateStep.
+func roundDown(perSecond float64) float64 {
+	const tolerance = 1e-6 // of the logarithm
+	return math.Pow(rateStep, math.Floor(math.Log(max(perSecond, minPerSecond))/math.Log(rateStep)+tolerance))
+}
+
 // Limited reports whether a limit of the upstream is in force.
 func (t *Table) Limited(u Upstream, now time.Time) bool {
 	_, limited := t.Limit(u, now)
@@ -229,7 +244,7 @@
 	if !e.limits(now) {
 		return true
 	}
-	hosts, used := sharers(), usedFraction*e.perSecond
+	hosts, used := sharers(), usedFraction*e.rate
 	if share := used / float64(hosts.count()); share >= 1 {
 		return e.takeToken(share, now)
 	}
@@ -255,7 +270,7 @@
 // takeSlot uses one of this host's slots. A slot can be used for some slots after it, since a host
 // rarely has a request to send just then.
 func (e *entry) takeSlot(current int64, upstreamHash uint64, hosts *Sharers) bool {
-	oldest := current - int64(extraBurst+e.perSecond*burstTime.Seconds()) + 1
+	oldest := current - int64(extraBurst+e.rate*burstTime.Seconds()) + 1
 	if e.checkedSlot == 0 || e.checkedSlot > current {
 		e.checkedSlot = current - 1 // slots of the time before the limit are not saved up
 	}
--- a/internal/upstreamlimit/table_test.go
+++ b/internal/upstreamlimit/table_test.go
@@ -27,6 +27,11 @@
 	require.False(t, table.Record(engine, lifted, start, start))
 	require.True(t, table.Record(engine, 2, start, start))
 	require.False(t, table.Record(engine, 2, start, start.Add(time.Second)), "nothing new")
+	require.False(t, table.Record(engine, 2.1, start, start.Add(time.Second+1)), "little changed")
+	perSecond, _ := table.Limit(engine, start.Add(time.Second+1))
+	require.Equal(t, 2.1, perSecond)
+	require.True(t, table.Record(engine, 1, start, start.Add(time.Second+2)))
+	require.True(t, table.Record(engine, 2, start, start.Add(time.Second+3)))
 	require.False(t, table.Record(engine, lifted, start.Add(time.Second), start.Add(2*time.Second)), "sent too early")
 	require.True(t, table.Limited(engine, start.Add(2*time.Second)))
 	require.False(t, table.Limited(Upstream{ID: engine.ID, Incarnation: 8}, start.Add(2*time.Second)))
@@ -106,6 +111,7 @@
 		site[i] = &simulatedHost{table: NewTable(from), start: from, all: all[i], fewer: fewer[i]}
 		site[i].table.Record(engine, perSecond, from, from)
 	}
+	variation := rand.New(rand.NewPCG(5, 6))
 	steps := int(length / step)
 	sent := make([]int, steps)
 	total, inWindow := 0, 0
@@ -116,7 +122,8 @@
 			change(h, i, at)
 			now := h.start.Add(at)
 			if n%50 == 0 {
-				h.table.Record(engine, perSecond, now, now)
+				// The limit varies from answer to answer.
+				h.table.Record(engine, perSecond*(1+0.1*variation.Float64()), now, now)
 			}
 			for !h.stopped && h.table.Take(engine, func() *Sharers { return h.view }, now) {
 				sent[n]++
