--- a/internal/upstreamlimit/table_test.go
+++ b/internal/upstreamlimit/table_test.go
@@ -247,4 +247,15 @@
 			table.Take(engine, sharers, start)
 		}
 	})
+	for _, hosts := range []int{90, 300, 2600} {
+		view = sharersOf(hosts, 1)[3]
+		b.Run(fmt.Sprintf("next slot of %d hosts", hosts), func(b *testing.B) {
+			table, now := NewTable(start), start
+			for b.Loop() {
+				now = now.Add(time.Second / 4)
+				table.Record(engine, 5, now, now)
+				table.Take(engine, sharers, now)
+			}
+		})
+	}
 }
