--- a/internal/hop/faults_test.go
+++ b/internal/hop/faults_test.go
@@ -300,7 +300,7 @@
 // Guards against a response whose head was cut anywhere and that is taken for a complete one, with
 // an empty or a short body.
 func TestCutHeadIsNoResponse(t *testing.T) {
-	const head = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 8000\r\nX-Signature: abc\r\nX-Folded: a\r\n b\r\n\r\n"
+	const head = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Request: r1\r\nContent-Length: 8000\r\nX-Signature: abc\r\nX-Folded: a\r\n b\r\n\r\n"
 	for _, framing := range []string{"Content-Length: 8000", "Transfer-Encoding: chunked", "Connection: close"} {
 		full := strings.Replace(head, "Content-Length: 8000", framing, 1)
 		for _, text := range []string{full, strings.ReplaceAll(full, "\r\n", "\n")} {
