Return from a probe of a connection whose answer came at its time limit

A call that returns no error exactly when its context ends would have been logged with the text of a nil error. Found by reading; not seen in a run.

--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -49,7 +49,7 @@
 	defer cancel()
 	probedAt := time.Now()
 	err := c.rpc.Call(ctx, methodPing, nil, nil)
-	if ctx.Err() == nil || c.stream.lastReceived().After(probedAt) {
+	if err == nil || ctx.Err() == nil || c.stream.lastReceived().After(probedAt) {
 		return
 	}
 	c.logger.Info("peer connection closed: it was silent", "peer", c.remoteAddress, "error", err.Error())
