Drop limits of unknown upstreams that other hosts report

Found by asking what a malformed message does: datagrams with limits of upstreams that do not exist filled the table of 4,096 entries, with names of any length up to a datagram, and kept the limits of real upstreams out of it.

Change: a statement counts only for an upstream and incarnation that the host knows, as with leave notices. It is repeated until then.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -278,7 +278,7 @@
 	f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
-	f.gateway.Limits().Merge(m.Limits, now)
+	f.gateway.MergeLimits(m.Limits, now)
 	for _, t := range f.tables() {
 		peerState, ok := m.Tables[t.Name()]
 		if !ok {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
@@ -34,6 +36,17 @@
 	g.AnnounceNotices()
 }
 
+// MergeLimits adds what upstreams said to another host. Statements of upstreams that this host does
+// not know are dropped, so that datagrams can not fill the table; they are repeated.
+func (g *Gateway) MergeLimits(reported []upstreamlimit.Statement, now time.Time) {
+	upstreams := g.Catalog().Upstreams
+	known := lo.Filter(reported, func(s upstreamlimit.Statement, _ int) bool {
+		u := upstreams[s.Upstream]
+		return u != nil && u.Incarnation == s.Incarnation
+	})
+	g.limits.Merge(known, now)
+}
+
 // takeFromLimit reports whether this host may send a request to an upstream now, and takes it
 // from the host's share if the upstream limits its requests.
 func (g *Gateway) takeFromLimit(u *catalog.Upstream, now time.Time) bool {
