Show that requests reach an engine too long after its entry was removed

A removed engine is kept as a last resort for 1.5 s from the moment at which a host hears of it, which is later where the hosts that read the store were killed.

--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(s *site, trouble bool, seed uint64) (broken bool, err error){
 	"garbled-head": playGarbledHead,
 
+	"left-engine":   playLeftEngine,
 	"paused-stream": playPausedStream,
 }
 
