Show that machines whose seeds were lost never find the others

Seeds are read once at the start and changed settings do not replace them, so each machine that was added with stale seeds stays alone and hands cold engines the rate of all machines.

--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -26,7 +26,8 @@
 // cases holds the cases by name. They return whether the rule was broken.
 var cases = map[string]func(s *site, trouble bool, seed uint64) (broken bool, err error){
 	"garbled-head":  playGarbledHead,
-	"late-rollout":  playLateRollout,
+	"lost-seeds":    playLostSeeds,
+	"many-routes":   playManyRoutes,
 	"left-engine":   playLeftEngine,
 	"paused-stream": playPausedStream,
 }
--- a/review/casekit/site.go
+++ b/review/casekit/site.go
@@ -113,11 +113,7 @@
 		s.hosts = append(s.hosts, h)
 	}
 	for _, h := range s.hosts {
-		h.settingsFile = filepath.Join(s.dir, h.name+".yaml")
-		if err := os.WriteFile(h.settingsFile, []byte(s.settingsText(h)), 0o600); err != nil {
-			return err
-		}
-		if err := s.startHost(h); err != nil {
+		if err := s.writeAndStart(h); err != nil {
 			return err
 		}
 	}
@@ -129,6 +125,20 @@
 	return nil
 }
 
+// addHost starts a further front end.
+func (s *site) addHost(h *host) error {
+	s.hosts = append(s.hosts, h)
+	return s.writeAndStart(h)
+}
+
+func (s *site) writeAndStart(h *host) error {
+	h.settingsFile = filepath.Join(s.dir, h.name+".yaml")
+	if err := os.WriteFile(h.settingsFile, []byte(s.settingsText(h)), 0o600); err != nil {
+		return err
+	}
+	return s.startHost(h)
+}
+
 // startHost starts the process with the command of deploy/system.toml.
 func (s *site) startHost(h *host) error {
 	log, err := os.OpenFile(filepath.Join(s.dir, h.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
