Show that unsafe requests run twice after a broken-off second refusal

Engines that are full refuse; if the second copy of a refusal breaks off inside a header, the next answer on that connection counts as a refusal, and its request is sent once more. Case 1 of the review is judged by TWICE now; REFUSED and MIXED are in its record.

--- a/review/casekit/engine.go
+++ b/review/casekit/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -44,6 +45,8 @@
 	id, service, zone, address string
 	born                       int64
 	listener                   net.Listener
+	// readers holds the reader of each open connection.
+	readers sync.Map
 	// answer writes the answer to a request and reports whether the connection is kept.
 	answer func(e *engine, c net.Conn, r *http.Request, body string) bool
 }
@@ -73,6 +76,8 @@
 func (e *engine) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
+	e.readers.Store(c, reader)
+	defer e.readers.Delete(c)
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -122,3 +127,16 @@
 	defer s.mu.Unlock()
 	return low + s.r.IntN(high-low+1)
 }
+
+// isIdleAfter waits and reports whether nothing has arrived on the connection since.
+func (e *engine) isIdleAfter(c net.Conn, d time.Duration) bool {
+	reader, ok := e.readers.Load(c)
+	if !ok {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := reader.(*bufio.Reader).Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/review/casekit/garbledhead.go
+++ b/review/casekit/garbledhead.go
@@ -24,36 +24,50 @@
 	garblePlayTime                   = 60 * time.Second
 	// extraDelay is the time after the answer at which the second one comes.
 	extraDelay = 3 * time.Millisecond
+	// garbleSlots is the number of requests that an engine runs at the same time, and garbleQueue
+	// the few more that it queues.
+	garbleSlots, garbleQueue = 6, 2
+	garbleCallers            = 54
 )
 
 func playGarbledHead(s *site, trouble bool, seed uint64) (bool, error) {
 	random, all := newRandom(seed), newRuns()
-	var garbled atomic.Int64
+	var garbled, refused atomic.Int64
 	const engines = 4
 	for i := range engines {
 		faulty := float64(i) < garbleShare*engines-0.5
+		slots, inside := make(chan struct{}, garbleSlots), atomic.Int64{}
 		e, err := startEngine(fmt.Sprintf("i-%d", i+1), "pokladna", []string{"a", "b"}[i%2], func(e *engine, c net.Conn, r *http.Request, body string) bool {
 			id := r.Header.Get("X-Attempt-Id")
-			share := safeErrorShare
-			if r.Method == http.MethodPost {
-				share = unsafeErrorShare
-			}
-			x := run{engine: e.id, signature: "sig-" + e.id + "-" + id, status: 200, body: "answer to " + id + " from " + e.id}
-			status := "200 OK"
-			if random.chance(share) {
-				x.status, x.body, status = 500, "failure of "+id+" at "+e.id, "500 Internal Server Error"
+			head := fmt.Sprintf("Date: %s\r\nContent-Type: text/plain\r\nX-Attempt-Id: %s\r\n", time.Now().UTC().Format(http.TimeFormat), id)
+			var text string
+			if inside.Add(1) > garbleSlots+garbleQueue {
+				refused.Add(1)
+				text = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + head + "Content-Length: 0\r\n\r\n"
+			} else {
+				slots <- struct{}{}
+				share := safeErrorShare
+				if r.Method == http.MethodPost {
+					share = unsafeErrorShare
+				}
+				x := run{engine: e.id, signature: "sig-" + e.id + "-" + id, status: 200, body: "answer to " + id + " from " + e.id}
+				status := "200 OK"
+				if random.chance(share) {
+					x.status, x.body, status = 500, "failure of "+id+" at "+e.id, "500 Internal Server Error"
+				}
+				all.add(id, x)
+				time.Sleep(time.Duration(random.between(10, 20)) * time.Millisecond)
+				<-slots
+				text = fmt.Sprintf("HTTP/1.1 %s\r\n%sX-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", status, head, x.signature, len(x.body), x.body)
 			}
-			all.add(id, x)
-			text := fmt.Sprintf("HTTP/1.1 %s\r\nDate: %s\r\nContent-Type: text/plain\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-				status, time.Now().UTC().Format(http.TimeFormat), id, x.signature, len(x.body), x.body)
+			inside.Add(-1)
 			if _, err := io.WriteString(c, text); err != nil {
 				return false
 			}
-			if trouble && faulty && random.chance(garbleRate) {
-				time.Sleep(extraDelay)
+			if trouble && faulty && random.chance(garbleRate) && e.isIdleAfter(c, extraDelay) {
 				n := random.between(1, len(text)-1)
 				garbled.Add(1)
-				s.record.printf("engine %s sends %d of %d bytes of a second answer to %s after the complete one (status %d)", e.id, n, len(text), id, x.status)
+				s.record.printf("engine %s sends %d of %d bytes of a second answer to %s after the complete one (%.12s)", e.id, n, len(text), id, text)
 				_, _ = io.WriteString(c, text[:n])
 			}
 			return true
@@ -70,39 +84,48 @@
 	if err := s.startHosts(3); err != nil {
 		return false, err
 	}
-	var broken, sent, answered atomic.Int64
+	var mixed, twice, falselyRefused, sent, answered atomic.Int64
 	var group sync.WaitGroup
 	end := time.Now().Add(garblePlayTime)
-	for i, h := range s.hosts {
-		for k := range 2 {
-			group.Go(func() {
-				c := &caller{address: h.caller}
-				defer c.close()
-				for n := 0; time.Now().Before(end); n++ {
-					id, method, path, body := fmt.Sprintf("r-%d-%d-%d", i, k, n), http.MethodGet, "/safe/next", ""
-					if n%3 > 0 {
-						method, path, body = http.MethodPost, "/unsafe/book", "booking "+fmt.Sprint(i, k, n)
-					}
-					sent.Add(1)
-					a := c.send(method, path, id, body, time.Second)
-					if a.err == nil {
-						answered.Add(1)
-					}
-					if reason := wrongAnswer(a, all.of(id)); reason != "" {
-						broken.Add(1)
-						s.record.printf("MIXED: %s %s %s at %s: %s; head %v; runs %+v", method, path, id, h.name, reason, a.header, all.of(id))
-					}
-					time.Sleep(time.Duration(random.between(8, 16)) * time.Millisecond)
+	for k := range garbleCallers {
+		h := s.hosts[k%len(s.hosts)]
+		group.Go(func() {
+			c := &caller{address: h.caller}
+			defer c.close()
+			for n := 0; time.Now().Before(end); n++ {
+				id, method, path, body := fmt.Sprintf("r-%d-%d", k, n), http.MethodGet, "/safe/next", ""
+				if n%3 > 0 {
+					method, path, body = http.MethodPost, "/unsafe/book", "booking "+id
 				}
-			})
-		}
+				sent.Add(1)
+				a := c.send(method, path, id, body, time.Second)
+				if a.err == nil {
+					answered.Add(1)
+				}
+				runs := all.of(id)
+				if reason := wrongAnswer(a, runs); reason != "" {
+					mixed.Add(1)
+					s.record.printf("MIXED: %s %s %s at %s: %s; head %v; runs %+v", method, path, id, h.name, reason, a.header, runs)
+				}
+				if method == http.MethodPost && len(runs) > 1 {
+					twice.Add(1)
+					s.record.printf("TWICE: %s %s %s at %s has run %d times: %+v", method, path, id, h.name, len(runs), runs)
+				}
+				if method == http.MethodPost && len(runs) > 0 && a.status == http.StatusServiceUnavailable {
+					falselyRefused.Add(1)
+					s.record.printf("REFUSED: %s %s %s at %s was refused and has run: %+v", method, path, id, h.name, runs)
+				}
+				time.Sleep(time.Duration(random.between(5, 25)) * time.Millisecond)
+			}
+		})
 	}
 	group.Wait()
-	s.record.printf("sent %d, answered %d, spoilt answers of engines %d, wrong answers %d", sent.Load(), answered.Load(), garbled.Load(), broken.Load())
+	s.record.printf("sent %d, answered %d, refused by engines %d, spoilt answers of engines %d; unsafe requests that ran twice %d, that were refused and had run %d; wrong answers (MIXED) %d",
+		sent.Load(), answered.Load(), refused.Load(), garbled.Load(), twice.Load(), falselyRefused.Load(), mixed.Load())
 	if sent.Load() == 0 || answered.Load() < sent.Load()/2 {
 		return false, fmt.Errorf("%d of %d requests were answered", answered.Load(), sent.Load())
 	}
-	return broken.Load() > 0, nil
+	return twice.Load() > 0, nil
 }
 
 // wrongAnswer checks an answer by the rule MIXED: a success must be the whole answer of an engine
