--- a/review/casekit/client.go
+++ b/review/casekit/client.go
@@ -32,13 +32,11 @@
 
 // reply is what a client got; err is set if the answer was not complete.
 type reply struct {
-	status    int
-	header    http.Header
-	body      string
-	err       error
-	closing   bool
-	tookMs    int64
-	newlyOpen bool
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	closing bool
 }
 
 func (c *caller) close() {
@@ -50,13 +48,12 @@
 
 // send sends a request and reads its answer.
 func (c *caller) send(method, path, id, body string, deadline time.Duration, extra ...string) reply {
-	startedAt, newly := time.Now(), false
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
 		if err != nil {
 			return reply{err: fmt.Errorf("no connection: %w", err)}
 		}
-		c.conn, c.reader, newly = conn, bufio.NewReader(conn), true
+		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", method, path, routeHost, id, deadline.Milliseconds(), apiKey)
@@ -68,7 +65,7 @@
 	}
 	b.WriteString("\r\n" + body)
 	_ = c.conn.SetDeadline(time.Now().Add(deadline + 2*time.Second))
-	out := reply{newlyOpen: newly}
+	var out reply
 	if _, out.err = io.WriteString(c.conn, b.String()); out.err == nil {
 		var response *http.Response
 		if response, out.err = http.ReadResponse(c.reader, &http.Request{Method: method}); out.err == nil {
@@ -77,7 +74,6 @@
 			out.status, out.header, out.body, out.closing = response.StatusCode, response.Header, string(data), response.Close
 		}
 	}
-	out.tookMs = time.Since(startedAt).Milliseconds()
 	if out.err != nil || out.closing {
 		c.close()
 	}
--- a/review/casekit/leftengine.go
+++ b/review/casekit/leftengine.go
@@ -38,7 +38,6 @@
 	slots   chan struct{}
 	waiting atomic.Int64
 	conns   sync.Map
-	gone    atomic.Bool
 }
 
 func playLeftEngine(s *site, trouble bool, _ uint64) (bool, error) {
@@ -160,7 +159,6 @@
 	removedAt.Store(&now)
 	s.record.printf("the entry of i-1 is removed; it serves on for %s", engineServesOn)
 	time.Sleep(engineServesOn)
-	first.gone.Store(true)
 	_ = first.listener.Close()
 	first.conns.Range(func(c, _ any) bool {
 		if tcp, ok := c.(*net.TCPConn); ok {
--- a/review/casekit/lostseeds.go
+++ b/review/casekit/lostseeds.go
@@ -4,14 +4,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"net/http"
-
 	"github.com/rattanscale/rattanscale/platform/standin"
 )
 
