Count the engines in force from the most seen before the first order

Cause: while engines are replaced some are missing; an order counted from those there would stop others. Change: until the first order the number in force is the highest seen. Measured: TestFirstOrderCountsFromTheMostEnginesSeen failed before.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -120,8 +120,9 @@
 	// ready is the number of engines that were ready when last seen, givenUp how many of them
 	// were ordered to go and haven't yet.
 	ready, givenUp int
-	// ordered is the last confirmed order; 0 is none.
+	// ordered is the last confirmed order; 0 is none. takenOver is set if it is an earlier holder's.
 	ordered       int
+	takenOver     bool
 	orderedAt     time.Time
 	lastDown      time.Time
 	firstSeen     time.Time
@@ -147,7 +148,7 @@
 func NewPlanner(s Service, ordered map[string]int) *Planner {
 	p := &Planner{service: s, centres: make(map[string]*dataCentre)}
 	for name, count := range ordered {
-		p.centres[name] = &dataCentre{ordered: count}
+		p.centres[name] = &dataCentre{ordered: count, takenOver: true}
 	}
 	return p
 }
@@ -219,8 +220,10 @@
 	if c.firstSeen.IsZero() {
 		c.firstSeen, c.recordedAt = now, now
 	}
-	if c.ordered == 0 {
-		c.ordered = o.Ready + o.Starting
+	if c.orderedAt.IsZero() && !c.takenOver {
+		// Without an order the number in force is at least the highest seen: some engines may be
+		// leaving or starting.
+		c.ordered = max(c.ordered, o.Ready+o.Starting)
 	}
 	if o.ViewAge > maxViewAge || o.Unavailable {
 		return
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -203,6 +203,15 @@
 	assert.Equal(t, []Order{{"a", 15, Displaced}, {"b", 15, Displaced}}, p.Decide(now, all(true)))
 }
 
+// Guards against an order to start engines that stops some, since those of the moment were counted
+// while others were being replaced.
+func TestFirstOrderCountsFromTheMostEnginesSeen(t *testing.T) {
+	p, now := NewPlanner(service, nil), time.Unix(0, 0)
+	require.Empty(t, p.Decide(now, []Observation{observe("a", 12, 180_000)}))
+	require.Empty(t, p.Decide(now.Add(time.Second), []Observation{observe("a", 15, 180_000)}))
+	assert.Empty(t, p.Decide(now.Add(2*time.Second), []Observation{observe("a", 12, 230_000)}), "15 engines are in force")
+}
+
 // Guards against an order that was lost, or undone by a call that was carried out late.
 func TestOrderWithoutEffectIsRepeated(t *testing.T) {
 	p, now := NewPlanner(service, nil), time.Unix(0, 0)
