Decode the scaling bounds of services

The configuration states for some services how many upstreams may be ordered in each data centre and how long they take to start; the catalog did not hold it. It now does, with the upstreams of a service by data centre, for the decision on their number.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -69,6 +69,16 @@
 	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Scaling is nil if the number of the service's upstreams is not ordered by the hosts.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of upstreams that may be ordered for a service.
+type Scaling struct {
+	// MinUpstreams and MaxUpstreams hold for each data centre.
+	MinUpstreams, MaxUpstreams int
+	// StartTime is the time from an order until a new upstream serves.
+	StartTime time.Duration
 }
 
 // Engine describes the model engines of a service.
@@ -264,6 +274,18 @@
 // slice is shared and must not be modified.
 func (c *Catalog) UpstreamsOfService(name string) []*Upstream { return c.upstreamsByService[name] }
 
+// UpstreamsByDataCentre returns the upstreams of a service by data centre, in no particular
+// order. Expired upstreams are left out.
+func (c *Catalog) UpstreamsByDataCentre(service string) map[string][]*Upstream {
+	out := make(map[string][]*Upstream)
+	for _, u := range c.UpstreamsOfService(service) {
+		if !u.Expired {
+			out[u.DataCentre] = append(out[u.DataCentre], u)
+		}
+	}
+	return out
+}
+
 // WithUpstreams returns a copy of the catalog with the given upstreams. The copy has no
 // index yet.
 func (c *Catalog) WithUpstreams(upstreams map[string]*Upstream) *Catalog {
