Report usage by one holder at a time

No host reported usage: every window counted as missed. The holder of a duty is now a row in the store, changed on condition, with a token that rises with each holder and with each raise of a retired token. A holder acts only within the term of the claim that it last confirmed, on a clock that counts suspended time; others claim after they have seen the row unchanged for a term. Reads of the row get rarer with the rank: 1.5 reads and 1.1 writes a second for a duty at 7, 66, 300 and 2,600 hosts (TestReadsDoNotGrowWithTheSite).

Hosts count the requests that upstreams began to run by window and account and send them to the first two hosts in rank and the holder. The content of a report is stored with the duty's row before the first call. Package orders sends numbers of upstreams the same way; nothing decides on them yet, so the duty autoscale is not claimed.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/duty"
 	"github.com/rattanscale/rattanscale/internal/follow"
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
@@ -50,6 +51,10 @@
 	// Directory and Readiness return handlers that answer in the platform's format.
 	Directory func(addresses func(caller string, limit int) (addresses []string, validity time.Duration)) http.Handler
 	Readiness func(ready func() bool) http.Handler
+	// DutyStore returns the rows of duties in a store, and DutyAPI a client of the platform's calls
+	// that only the holder of a duty may make.
+	DutyStore func(store follow.Store) (duty.Store, error)
+	DutyAPI   func(address string) DutyAPI
 }
 
 // Catalog holds the mirrored tables.
@@ -80,6 +85,8 @@
 	peerClient    *peer.Client
 	copyScheduler *copyScheduler
 	rollouts      *rollouts
+	// duties is nil if the settings name none.
+	duties *duties
 
 	startedAt  time.Time
 	fetchSlots chan struct{}
@@ -103,7 +110,8 @@
 	f.copyScheduler = newCopyScheduler(f)
 	f.gateway = gateway.New(gateway.Options{
 		PlainPolicy: s.Policy == PolicyPlain, CopyScheduler: f.copyScheduler, OnOutcome: f.rollouts.recordOutcome, AnnounceNotices: f.announce, ScheduleReport: f.sendToAllNextRound, Cell: f.ownCell,
-		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
+		OnRunBegan: f.recordRunBegan,
+		Host:       s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
 		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.liveHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
 	})
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
@@ -115,6 +123,7 @@
 		f.announceReady()
 	})
 	f.store = p.Store(s.Store.Address, f.metrics.RecordStoreCall)
+	f.duties = newDuties(f)
 	f.fetches = lo.SliceToMap(f.tables(), func(t *follow.Table) (string, *tableFetches) { return t.Name(), newTableFetches() })
 	return f
 }
@@ -162,6 +171,9 @@
 		return nil
 	})
 	group.Go(func() error { f.runHousekeeping(workCtx); return nil })
+	if f.duties != nil {
+		group.Go(func() error { f.duties.run(workCtx); return nil })
+	}
 	group.Go(func() error { f.gateway.WatchLeavingEngines(workCtx, f.upstreamsAge); return nil })
 	if err := f.serveAuxiliary(workCtx, group); err != nil {
 		return err
@@ -176,6 +188,7 @@
 	case <-workCtx.Done():
 	}
 	f.drain(callers)
+	f.flushUsage()
 	stop()
 	f.pool.Close()
 	err = group.Wait()
@@ -191,6 +204,7 @@
 	f.peerServer, f.peerClient = peer.New(peer.Options{Address: s.Listen.Peer, Key: s.Peers.Key, Logger: f.log, CallTimeout: fetchTimeout})
 	peer.Register(f.peerServer, methodChanges, f.serveChanges)
 	f.copyScheduler.register(f.peerServer)
+	f.registerUsage()
 	listener, err := net.Listen("tcp", s.Listen.Peer)
 	if err != nil {
 		return err
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -80,6 +80,7 @@
 	f.members.SetState(gossip.Draining)
 	f.gateway.StartDrain(startedAt.Add(restrictedAdmissionDelay), deadline)
 	f.announce()
+	f.releaseDuties()
 	for time.Now().Before(deadline) {
 		if time.Since(startedAt) >= drainNoticePeriod && f.gateway.ActiveRequests() == 0 {
 			break
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -27,6 +27,8 @@
 	Policy string `yaml:"policy" validate:"oneof=adaptive plain"`
 	// Directory configures the responses that list the hosts for callers.
 	Directory Directory `yaml:"directory"`
+	// Duties configures the tasks that one host at a time carries out.
+	Duties Duties `yaml:"duties"`
 }
 
 // Listen holds the addresses, as IP and port, that the front end serves.
@@ -90,6 +92,34 @@
 	Validity time.Duration `yaml:"validity" validate:"gte=1s,lte=1m"`
 }
 
+// Duties configures the tasks that one host at a time carries out at the platform's API. Without
+// names there are none.
+type Duties struct {
+	// Names are usage, which reports the requests of accounts, and autoscale, which orders
+	// upstreams.
+	Names   []string `yaml:"names" validate:"dive,oneof=usage autoscale"`
+	Address string   `yaml:"address" validate:"required_with=Names,omitempty,hostname_port"`
+	// CallsPerSecond bounds the calls of all hosts together.
+	CallsPerSecond float64 `yaml:"calls-per-second" validate:"gte=0"`
+	// Term is how long a claim of a duty holds without being confirmed.
+	Term time.Duration `yaml:"term" validate:"gte=1s,lte=1m"`
+	// PauseMargin is the time at the end of a term in which the holder does not act, since the
+	// process may be paused for as long unnoticed.
+	PauseMargin time.Duration `yaml:"pause-margin" validate:"gte=0s,lte=10s"`
+	// FencingEnforced is set if the platform rejects calls with a lower token than it has seen.
+	FencingEnforced bool `yaml:"fencing-enforced"`
+	// UsageWindow is the length of the windows of usage, and UsageDelay the time after the end of
+	// a window at which its report is due.
+	UsageWindow time.Duration `yaml:"usage-window" validate:"gte=1s,lte=24h"`
+	UsageDelay  time.Duration `yaml:"usage-delay" validate:"gte=1s,lte=24h"`
+}
+
+// The values of Duties.Names.
+const (
+	DutyUsage     = "usage"
+	DutyAutoscale = "autoscale"
+)
+
 // The values of Settings.Policy.
 const (
 	PolicyAdaptive = "adaptive"
@@ -109,6 +139,7 @@
 		Drain:     Drain{Limit: 8 * time.Second},
 		Rollout:   RolloutBounds{Share: 0.1, Slack: 50},
 		Directory: Directory{Validity: 2 * time.Second},
+		Duties:    Duties{Term: 3 * time.Second, PauseMargin: 300 * time.Millisecond, UsageWindow: time.Minute, UsageDelay: 30 * time.Second},
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,10 @@
 	// OnOutcome is called with what a request shows about the upstream that runs it, in up
 	// to three parts: when its response begins, while it streams, and when it ends.
 	OnOutcome func(Outcome)
+	// OnRunBegan is called once for each request that an upstream began to run, with the account
+	// and the time of the first event or, if the response is no stream, of the sending. It may be
+	// nil.
+	OnRunBegan func(account string, at time.Time)
 	// AnnounceNotices sends new leave notices to the other hosts at once. ScheduleReport
 	// makes the next regular message go to all hosts, also those of other cells.
 	AnnounceNotices, ScheduleReport func()
@@ -189,6 +193,8 @@
 	fingerprint uint64
 	// run is the report of the latest run.
 	run *runReport
+	// begunReported is set once OnRunBegan was called.
+	begunReported bool
 	// streamLoad is the load that a stream currently puts on its upstream.
 	streamLoad balance.Load
 	// releaseBodies free the room of the buffered responses once the request has ended.
--- a/internal/gateway/runreport.go
+++ b/internal/gateway/runreport.go
@@ -39,6 +39,7 @@
 	switch r.events {
 	case 1:
 		r.firstEventAt = now
+		r.call.reportBegun(now)
 		r.send(Outcome{Running: true, TimeToFirst: now.Sub(r.sentAt)})
 	case beginningEvents + 1:
 		r.call.recordAnswer(now)
@@ -53,6 +54,9 @@
 	if !failed {
 		r.call.recordAnswer(now)
 	}
+	if r.call.route.Kind != catalog.Stream {
+		r.call.reportBegun(r.sentAt)
+	}
 	o := Outcome{Failed: failed}
 	switch {
 	case failed:
@@ -91,3 +95,12 @@
 	o.Service, o.Version, o.Route = r.call.service.Name, r.upstream.Version, r.call.route.Name
 	r.call.g.OnOutcome(o)
 }
+
+// reportBegun reports once that an upstream began to run the request.
+func (c *call) reportBegun(at time.Time) {
+	if c.begunReported || c.g.OnRunBegan == nil {
+		return
+	}
+	c.begunReported = true
+	c.g.OnRunBegan(c.account, at)
+}
