Split gossip messages that exceed a datagram and report what is not sent

Cause: a gossip message was one datagram of any size, and the error of a socket that refuses a datagram above 65,507 bytes was dropped. Evidence on a rollout over 350 routes has 65 to 73 KB; it made every full message too large.

The first has the sender, its tables and its members; loads and losses are replaced by ranges of keys, so that a part does not delete the rest. Hosts of older versions read the first datagram and the loads of the others. What can not be encoded, addressed or sent is logged, at most once in 10 s for each reason, and counted in rattanscale_gossip_unsent_total.

TestMembershipDoesNotDependOnTheSizeOfTheContent: before, 0 of 6 hosts known after 3 s; now all.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -185,6 +186,10 @@
 func (t *Tracker) SetPeerReport(peer string, loads map[string]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setPeerReportLocked(peer, loads, now)
+}
+
+func (t *Tracker) setPeerReportLocked(peer string, loads map[string]Load, now time.Time) {
 	t.removePeerReport(peer)
 	if loads == nil {
 		loads = map[string]Load{}
@@ -198,6 +203,20 @@
 	}
 }
 
+// SetPeerReportWithin replaces the loads of a peer on the upstreams that covered selects.
+func (t *Tracker) SetPeerReportWithin(peer string, loads map[string]Load, covered func(upstream string) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	merged := make(map[string]Load, len(loads))
+	for id, l := range t.peerReports[peer].loads {
+		if !covered(id) {
+			merged[id] = l
+		}
+	}
+	maps.Copy(merged, loads)
+	t.setPeerReportLocked(peer, merged, now)
+}
+
 // UpdatePeerReport replaces some loads in the report of a peer and keeps the rest. It
 // has no effect before the first SetPeerReport.
 func (t *Tracker) UpdatePeerReport(peer string, loads map[string]Load, now time.Time) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -205,7 +205,7 @@
 	}
 	f.gossip = &gossip.Transport{
 		Table: f.members, Conn: conn, Seeds: f.seeds(), Compose: f.composeMessage, OnReceived: f.onMessage,
-		LoadsChanged: f.loadTracker.Changed(), LocateUpstream: f.dataCentreOf, Log: f.log,
+		LoadsChanged: f.loadTracker.Changed(), LocateUpstream: f.dataCentreOf, OnUnsent: f.metrics.RecordUnsentGossip, Log: f.log,
 	}
 	group.Go(func() error { return f.peerServer.Serve(listener) })
 	group.Go(func() error { f.gossip.Run(ctx); return nil })
@@ -265,17 +265,17 @@
 
 // onMessage merges the loads of a peer and fetches table changes that only the peer holds.
 func (f *FrontEnd) onMessage(m gossip.Message, now time.Time) {
-	switch m.Content {
-	case gossip.AllLoads:
-		f.loadTracker.SetPeerReport(m.Self.Name, m.Loads, now)
-	case gossip.ChangedLoads:
-		f.loadTracker.UpdatePeerReport(m.Self.Name, m.Loads, now)
+	f.mergeLoads(m, now)
+	if continues := m.Split != nil && m.Split.Continuation; m.Content == gossip.ChangedLoads && !continues {
 		return
-	case gossip.NoLoads:
-		f.loadTracker.UpdatePeerReport(m.Self.Name, nil, now)
+	}
+	switch {
+	case m.Split == nil:
+		f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
+	case m.Split.Losses != nil:
+		f.gateway.Suspects().SetPeerCountsWithin(m.Self.Name, m.Losses, m.Split.Losses.Contains)
 	}
 	f.rollouts.mergeEvidence(m.Evidence)
-	f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
 	f.gateway.MergeLimits(m.Limits, now)
@@ -297,6 +297,17 @@
 	}
 }
 
+func (f *FrontEnd) mergeLoads(m gossip.Message, now time.Time) {
+	switch {
+	case m.Split != nil && m.Split.Loads != nil:
+		f.loadTracker.SetPeerReportWithin(m.Self.Name, m.Loads, m.Split.Loads.Contains, now)
+	case m.Split == nil && m.Content == gossip.AllLoads:
+		f.loadTracker.SetPeerReport(m.Self.Name, m.Loads, now)
+	default:
+		f.loadTracker.UpdatePeerReport(m.Self.Name, m.Loads, now)
+	}
+}
+
 // mirrorTable reads a table from the store while needed returns true and this host is one of
 // the readers, or while no reader has reached the store recently.
 func (f *FrontEnd) mirrorTable(ctx context.Context, t *follow.Table, minReadInterval time.Duration, needed func() bool) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -48,6 +48,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
 }
 
+// RecordUnsentGossip counts a gossip datagram, or a part of a message, that was not sent.
+func (m *Metrics) RecordUnsentGossip(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gossip_unsent_total{reason=%q}`, reason)).Inc()
+}
+
 // RecordStatement counts a new statement of an upstream about itself.
 func (m *Metrics) RecordStatement(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_upstream_statements_total{kind=%q}`, kind)).Inc()
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -92,6 +93,10 @@
 func (s *Suspects) SetPeerCounts(host string, counts map[uint64]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setPeerCountsLocked(host, counts)
+}
+
+func (s *Suspects) setPeerCountsLocked(host string, counts map[uint64]int) {
 	if len(counts) == 0 {
 		delete(s.peerLosses, host)
 		return
@@ -99,6 +104,22 @@
 	s.peerLosses[host] = counts
 }
 
+// SetPeerCountsWithin replaces the counts of another host for the fingerprints that covered selects.
+func (s *Suspects) SetPeerCountsWithin(host string, counts map[uint64]int, covered func(fingerprint uint64) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	merged := maps.Clone(counts)
+	if merged == nil {
+		merged = make(map[uint64]int)
+	}
+	for fingerprint, losses := range s.peerLosses[host] {
+		if !covered(fingerprint) {
+			merged[fingerprint] = losses
+		}
+	}
+	s.setPeerCountsLocked(host, merged)
+}
+
 // Evict deletes expired entries and the counts of hosts that are no longer live.
 func (s *Suspects) Evict(now time.Time, isLive func(host string) bool) {
 	s.mu.Lock()
--- a/internal/gossip/cells_test.go
+++ b/internal/gossip/cells_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,7 +144,13 @@
 	}
 }
 
+// maxUDPPayload is the largest payload of a UDP datagram over IPv4.
+const maxUDPPayload = 65_507
+
 func (b *memorySocket) WriteToUDP(data []byte, to *net.UDPAddr) (int, error) {
+	if len(data) > maxUDPPayload {
+		return 0, syscall.EMSGSIZE
+	}
 	b.network.mu.Lock()
 	defer b.network.mu.Unlock()
 	b.network.sentBytes += len(data)
@@ -172,6 +179,8 @@
 	transport *Transport
 	loads     *balance.Tracker
 	cancel    context.CancelFunc
+	// evidence is the content of full messages that may grow.
+	evidence map[string][]byte
 }
 
 // startSite starts hosts with three seeds. Upstream "DC/x" is in the data centre DC.
@@ -199,6 +208,10 @@
 
 // startHost starts a host with a new socket.
 func startHost(t *testing.T, w *memoryNetwork, h Member, seeds []string) *simulatedHost {
+	return startHostWithEvidence(t, w, h, seeds, nil)
+}
+
+func startHostWithEvidence(t *testing.T, w *memoryNetwork, h Member, seeds []string, evidence map[string][]byte) *simulatedHost {
 	address, err := net.ResolveUDPAddr("udp", h.PeerAddress)
 	require.NoError(t, err)
 	socket := &memorySocket{network: w, address: address, inbox: make(chan datagram, 4096), closed: make(chan struct{})}
@@ -206,11 +219,14 @@
 	w.sockets[h.PeerAddress] = socket
 	w.mu.Unlock()
 	h.State = Starting
-	p := &simulatedHost{table: NewTable(h), loads: balance.NewTracker()}
+	p := &simulatedHost{table: NewTable(h), loads: balance.NewTracker(), evidence: evidence}
 	transport := &Transport{
 		Table: p.table, Conn: socket, Seeds: seeds, LoadsChanged: p.loads.Changed(), Log: logr.Discard(),
 		LocateUpstream: func(upstream string) (string, bool) { return upstream[:4], true },
-		Compose: func(m *Message, _ bool) {
+		Compose: func(m *Message, full bool) {
+			if full {
+				m.Evidence = p.evidence
+			}
 			switch m.Content {
 			case AllLoads:
 				m.Loads = p.loads.OwnLoads()
@@ -316,3 +332,24 @@
 		}
 	})
 }
+
+// Guards against hosts that stay apart because each full message, which alone has the addresses,
+// holds content above the size of a datagram: the evidence on a rollout over 350 routes.
+func TestMembershipDoesNotDependOnTheSizeOfTheContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &memoryNetwork{sockets: map[string]*memorySocket{}, lossRandom: rand.New(rand.NewPCG(1, 2)), dataCentres: map[string]string{}}
+		members := makeHosts(7, 2)
+		for i := range members {
+			members[i].PeerAddress = fmt.Sprintf("10.0.0.%d:7000", i+1)
+		}
+		var hosts []*simulatedHost
+		for _, m := range members {
+			hosts = append(hosts, startHostWithEvidence(t, w, m, seedAddresses(members), map[string][]byte{"orders": make([]byte, 73_000)}))
+		}
+		time.Sleep(3 * time.Second)
+		for i, h := range hosts {
+			require.Equal(t, len(hosts)-1, h.table.CountLive(time.Now()), "host %d", i)
+			h.cancel()
+		}
+	})
+}
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -94,6 +94,10 @@
 	Limits []upstreamlimit.Statement `msgpack:"-"`
 	// WantsAddresses asks the receiver for the members of its cell with their addresses.
 	WantsAddresses bool `msgpack:"-"`
+	// Sections holds further content.
+	Sections []Section `msgpack:"-"`
+	// Split is set if the datagram holds only a part of a message.
+	Split *Split `msgpack:"-"`
 }
 
 // Content states which parts of a message are set.
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -35,6 +35,16 @@
 	roundsPerCellSend = 2
 	// maxDatagramBytes is the size limit of UDP datagrams.
 	maxDatagramBytes = 64 << 10
+	// unsentLogInterval is the time between log lines about messages that can not be sent for
+	// the same reason.
+	unsentLogInterval = 10 * time.Second
+)
+
+// The reasons for which a message, or a part of it, is not sent.
+const (
+	unsentEncoding = "encoding" // it could not be encoded, or has a part above the size limit
+	unsentAddress  = "address"  // the address of the receiver is invalid
+	unsentSocket   = "socket"   // the socket refused the datagram
 )
 
 // Conn is a UDP socket.
@@ -58,7 +68,10 @@
 	LocateUpstream func(upstream string) (dataCentre string, known bool)
 	// OnReceived is called after a message was merged into Table, unless it arrived out of order.
 	OnReceived func(m Message, now time.Time)
-	Log        logr.Logger
+	// OnUnsent, if set, is called with the reason whenever a datagram or a part of a message is
+	// not sent.
+	OnUnsent func(reason string)
+	Log      logr.Logger
 
 	sendCount          atomic.Uint64
 	sendToAllRequested atomic.Bool
@@ -70,8 +83,20 @@
 	roundCount int64
 	// composeMu ensures that a message with a higher heartbeat carries newer content.
 	composeMu sync.Mutex
+
+	unsentMu sync.Mutex
+	// unsent holds, by reason, what has been counted since the last log line.
+	unsent map[string]*unsentCount
 }
 
+type unsentCount struct {
+	loggedAt time.Time
+	since    int
+}
+
+// datagrams is an encoded message. It has several datagrams if one could not hold the message.
+type datagrams [][]byte
+
 // Run sends and receives until ctx ends, then closes Conn.
 func (t *Transport) Run(ctx context.Context) {
 	go t.receive(ctx)
@@ -108,7 +133,7 @@
 	}
 	if t.sendToAllRequested.Swap(false) && cells.Divided() {
 		now := time.Now()
-		t.sendDatagrams(t.composeAndMarshal(now, true, Message{Content: NoLoads}), t.Table.Live(now))
+		t.sendToHosts(t.composeAndMarshal(now, true, Message{Content: NoLoads}), t.Table.Live(now))
 	}
 }
 
@@ -128,20 +153,20 @@
 		targets = t.Table.Targets(now, limit)
 	}
 	full := t.fullRequested.Swap(false) || t.sendCount.Add(1)%roundsPerIntroduction == 1 || len(targets) < len(t.Seeds)
-	withLoads, withoutLoads := t.composeAndMarshal(now, full, Message{}), []byte(nil)
+	withLoads, withoutLoads := t.composeAndMarshal(now, full, Message{}), datagrams(nil)
 	for _, m := range targets {
 		if t.Table.MarkFullLoadsIfDue(m.Name, now) {
-			t.sendDatagram(withLoads, m.PeerAddress)
+			t.send(withLoads, m.PeerAddress)
 			continue
 		}
 		if withoutLoads == nil {
 			withoutLoads = t.composeAndMarshal(now, full, Message{Content: NoLoads})
 		}
-		t.sendDatagram(withoutLoads, m.PeerAddress)
+		t.send(withoutLoads, m.PeerAddress)
 	}
 	if len(targets) < len(t.Seeds) {
 		for _, seed := range t.Seeds {
-			t.sendDatagram(withLoads, seed)
+			t.send(withLoads, seed)
 		}
 	}
 }
@@ -161,13 +186,13 @@
 	round := now.Unix() / int64(digestInterval/time.Second)
 	digest := t.Table.Digest(now, round%digestsPerIntroduction == 0)
 	data := t.composeAndMarshal(now, true, Message{Content: NoLoads, Others: digest})
-	t.sendDatagrams(data, cells.DigestTargets(t.Table.Self().Name, t.Table.Live(now), round))
-	t.sendDatagrams(data, t.Table.FailedHostToProbe(now))
+	t.sendToHosts(data, cells.DigestTargets(t.Table.Self().Name, t.Table.Live(now), round))
+	t.sendToHosts(data, t.Table.FailedHostToProbe(now))
 	m := t.compose(now, false, Message{})
 	// Loads without tokens belong to plain upstreams; they are not sent to other cells.
 	engines := lo.PickBy(m.Loads, func(_ string, l balance.Load) bool { return l.Tokens > 0 })
 	if len(engines) > 0 {
-		t.sendDatagrams(t.marshal(&m), t.otherCellHosts(cells, engines))
+		t.sendToHosts(t.marshal(&m), t.otherCellHosts(cells, engines))
 	}
 }
 
@@ -180,7 +205,7 @@
 	if !cells.Divided() {
 		targets = t.Table.Live(now)
 	}
-	t.sendDatagrams(t.marshal(&m), append(slices.Clone(targets), t.otherCellHosts(cells, m.Loads)...))
+	t.sendToHosts(t.marshal(&m), append(slices.Clone(targets), t.otherCellHosts(cells, m.Loads)...))
 }
 
 // otherCellHosts returns the hosts of the other cells to which upstreams of loads belong.
@@ -201,9 +226,9 @@
 	return slices.Collect(maps.Values(byName))
 }
 
-func (t *Transport) sendDatagrams(data []byte, targets []Member) {
+func (t *Transport) sendToHosts(data datagrams, targets []Member) {
 	for _, m := range targets {
-		t.sendDatagram(data, m.PeerAddress)
+		t.send(data, m.PeerAddress)
 	}
 }
 
@@ -220,31 +245,53 @@
 	return m
 }
 
-func (t *Transport) composeAndMarshal(now time.Time, full bool, m Message) []byte {
+func (t *Transport) composeAndMarshal(now time.Time, full bool, m Message) datagrams {
 	m = t.compose(now, full, m)
 	return t.marshal(&m)
 }
 
-func (t *Transport) marshal(m *Message) []byte {
-	data, err := m.encode()
+func (t *Transport) marshal(m *Message) datagrams {
+	data, err := m.datagrams(func() Member { return t.Table.NextHeartbeat(false) })
 	if err != nil {
-		t.Log.Error(err, "gossip message could not be encoded; it is not sent")
-		return nil
+		t.recordUnsent(unsentEncoding, "", err)
 	}
 	return data
 }
 
-func (t *Transport) sendDatagram(data []byte, address string) {
-	if len(data) == 0 { // the message could not be encoded
-		return
-	}
+func (t *Transport) send(data datagrams, address string) {
 	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
-		t.Log.Error(err, "peer address is invalid", "address", address)
+		t.recordUnsent(unsentAddress, address, err)
 		return
 	}
-	// A lost or refused datagram needs no retry, since the next round sends a newer one.
-	_, _ = t.Conn.WriteToUDP(data, to)
+	for _, d := range data {
+		// A lost or refused datagram needs no retry, since the next round sends a newer one.
+		if _, err := t.Conn.WriteToUDP(d, to); err != nil && !errors.Is(err, net.ErrClosed) {
+			t.recordUnsent(unsentSocket, address, err)
+		}
+	}
+}
+
+// recordUnsent counts what is not sent, and logs it once in unsentLogInterval for each reason.
+func (t *Transport) recordUnsent(reason, address string, err error) {
+	if t.OnUnsent != nil {
+		t.OnUnsent(reason)
+	}
+	t.unsentMu.Lock()
+	defer t.unsentMu.Unlock()
+	if t.unsent == nil {
+		t.unsent = make(map[string]*unsentCount)
+	}
+	count := t.unsent[reason]
+	if count == nil {
+		count = &unsentCount{}
+		t.unsent[reason] = count
+	}
+	count.since++
+	if now := time.Now(); now.Sub(count.loggedAt) >= unsentLogInterval {
+		t.Log.Error(err, "gossip message, or a part of it, was not sent", "reason", reason, "address", address, "count", count.since)
+		count.loggedAt, count.since = now, 0
+	}
 }
 
 func (t *Transport) receive(ctx context.Context) {
@@ -279,7 +326,7 @@
 		if m.Self.State == Starting {
 			reply.Others = t.Table.MembersToIntroduce(m.Self, now, maxMembersForStartingHost)
 		}
-		t.sendDatagram(t.composeAndMarshal(now, true, reply), from)
+		t.send(t.composeAndMarshal(now, true, reply), from)
 	}
 	t.exchangeAddresses(m.WantsAddresses, from, now)
 }
@@ -289,11 +336,11 @@
 // another cell stays unlisted until the next regular digest with addresses.
 func (t *Transport) exchangeAddresses(asked bool, from string, now time.Time) {
 	if asked {
-		t.sendDatagram(t.composeAndMarshal(now, true, Message{Reply: true, Content: NoLoads, Others: t.Table.Digest(now, true)}), from)
+		t.send(t.composeAndMarshal(now, true, Message{Reply: true, Content: NoLoads, Others: t.Table.Digest(now, true)}), from)
 		return
 	}
 	if now.Sub(t.addressesAskedAt) >= addressRequestInterval && t.Table.TakeAddressesWanted() {
 		t.addressesAskedAt = now
-		t.sendDatagram(t.composeAndMarshal(now, false, Message{Reply: true, Content: NoLoads, WantsAddresses: true}), from)
+		t.send(t.composeAndMarshal(now, false, Message{Reply: true, Content: NoLoads, WantsAddresses: true}), from)
 	}
 }
--- a/internal/gossip/version_test.go
+++ b/internal/gossip/version_test.go
@@ -76,3 +76,6 @@
 	_, err = decodeMessage(data[:len(data)-1])
 	require.Error(t, err, "truncated in the extension")
 }
+
+// decodeFirst decodes a datagram as a host of the first version does.
+func decodeFirst(data []byte, m *firstMessage) error { return msgpack.Unmarshal(data, m) }
