Bound the evidence on rollouts that hosts send each other

Cause: each full message carried the counts of all routes of a service, 65,374 bytes for 350 routes after 5 requests on each, about 730 KB for 3,500 routes, to every other host once a second.

Change: the counter encodes its counts in parts of at most 7 KiB, each a report that can be merged without the others, and a message holds at most seven parts. Routes on which the new version was used go first, since a verdict waits for them; the others follow in the order in which they were last sent. The verdict itself is in every part.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -154,3 +154,16 @@
 		}
 	}
 }
+
+// Guards against loads that vanish, or stay for good, because a datagram held only a part of
+// another host's loads.
+func TestPartOfAReportReplacesItsRange(t *testing.T) {
+	now, tracker := time.Unix(1000, 0), NewTracker()
+	load := func(n int) Load { return Load{Requests: n, Tokens: 100 * n} }
+	tracker.SetPeerReport("h1", map[string]Load{"a": load(1), "b": load(2), "c": load(3)}, now)
+	tracker.SetPeerReport("h2", map[string]Load{"b": load(5)}, now)
+	tracker.SetPeerReportWithin("h1", map[string]Load{"d": load(4)}, func(id string) bool { return id >= "b" }, now)
+	for id, want := range map[string]Load{"a": load(1), "b": load(5), "c": {}, "d": load(4)} {
+		require.Equal(t, want, tracker.Views([]string{id}, now)[0].Load, id)
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -235,7 +235,8 @@
 func (f *FrontEnd) composeMessage(m *gossip.Message, full bool) {
 	now := time.Now()
 	if full {
-		m.Evidence = f.rollouts.encodeEvidence()
+		evidence, rest := f.rollouts.encodeEvidence()
+		m.Evidence, m.Sections = evidence, append(m.Sections, rest...)
 	}
 	switch m.Content {
 	case gossip.AllLoads:
@@ -275,7 +276,7 @@
 	case m.Split.Losses != nil:
 		f.gateway.Suspects().SetPeerCountsWithin(m.Self.Name, m.Losses, m.Split.Losses.Contains)
 	}
-	f.rollouts.mergeEvidence(m.Evidence)
+	f.rollouts.mergeEvidence(m.Evidence, m.Sections)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
 	f.gateway.MergeLimits(m.Limits, now)
--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/gateway"
+	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/rollout"
 )
@@ -21,6 +23,13 @@
 	// writeTakeover is how long a host waits for each host before it in rank to write a
 	// phase. Those may be cut off from the store while all other hosts see them live.
 	writeTakeover = 700 * time.Millisecond
+	// maxEvidencePartBytes bounds a part of the evidence, which is a section of a message, and
+	// maxEvidenceParts the parts of all services in a message. A host sends one such message a
+	// second to each other host; the rest follows in the next ones.
+	maxEvidencePartBytes = 7 << 10
+	maxEvidenceParts     = 7
+	// evidenceSectionPrefix precedes the service in the names of sections with evidence.
+	evidenceSectionPrefix = "rollout-evidence/"
 )
 
 // rollouts runs the rollouts that operators order. Every host counts outcomes, merges the counts
@@ -68,53 +77,64 @@
 	}
 }
 
-// encodeEvidence returns this host's evidence by service, encoded for the other hosts.
-func (r *rollouts) encodeEvidence() map[string][]byte {
+// encodeEvidence returns this host's evidence, encoded for the other hosts: a first part by
+// service, which hosts of older versions read too, and the rest as sections.
+func (r *rollouts) encodeEvidence() (first map[string][]byte, rest []gossip.Section) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.active) == 0 {
-		return nil
+		return nil, nil
 	}
-	out := make(map[string][]byte, len(r.active))
+	first = make(map[string][]byte, len(r.active))
 	for service, t := range r.active {
-		report := t.counter.Report(true)
-		t.evidence.Merge(report)
-		report.Undone = t.undoReason
-		data, err := json.Marshal(report)
+		t.evidence.Merge(t.counter.Report(true))
+		parts, err := t.counter.ReportParts(t.undoReason, maxEvidencePartBytes, max(maxEvidenceParts/len(r.active), 1))
 		if err != nil {
 			r.frontEnd.log.Error(err, "evidence could not be encoded", "service", service)
 			continue
 		}
-		out[service] = data
+		first[service] = parts[0]
+		for _, part := range parts[1:] {
+			rest = append(rest, gossip.Section{Name: evidenceSectionPrefix + service, Data: part})
+		}
 	}
-	return out
+	return first, rest
 }
 
 // mergeEvidence merges the evidence of another host.
-func (r *rollouts) mergeEvidence(reports map[string][]byte) {
+func (r *rollouts) mergeEvidence(first map[string][]byte, rest []gossip.Section) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for service, data := range reports {
-		t := r.active[service]
-		if t == nil {
-			continue
-		}
-		var report rollout.Report
-		if err := json.Unmarshal(data, &report); err != nil {
-			r.frontEnd.log.Error(err, "evidence could not be read", "service", service)
-			continue
-		}
-		// Evidence on an earlier or later order of the same service is ignored.
-		if report.Incarnation != evidenceIncarnation(t.order) {
-			continue
-		}
-		t.evidence.Merge(report)
-		if report.Undone != "" && t.phase == catalog.RolloutRunning {
-			r.undo(t, report.Undone, report.Daemon)
+	for service, data := range first {
+		r.mergeReport(service, data)
+	}
+	for _, section := range rest {
+		if service, found := strings.CutPrefix(section.Name, evidenceSectionPrefix); found {
+			r.mergeReport(service, section.Data)
 		}
 	}
 }
 
+func (r *rollouts) mergeReport(service string, data []byte) {
+	t := r.active[service]
+	if t == nil {
+		return
+	}
+	var report rollout.Report
+	if err := json.Unmarshal(data, &report); err != nil {
+		r.frontEnd.log.Error(err, "evidence could not be read", "service", service)
+		return
+	}
+	// Evidence on an earlier or later order of the same service is ignored.
+	if report.Incarnation != evidenceIncarnation(t.order) {
+		return
+	}
+	t.evidence.Merge(report)
+	if report.Undone != "" && t.phase == catalog.RolloutRunning {
+		r.undo(t, report.Undone, report.Daemon)
+	}
+}
+
 // evidenceIncarnation identifies the evidence on one order of a service.
 func evidenceIncarnation(order catalog.Rollout) string {
 	return strconv.FormatUint(order.Revision, 10)
--- a/internal/frontend/rollouts_test.go
+++ b/internal/frontend/rollouts_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/gateway"
+	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/rollout"
 	"github.com/rattanscale/rattanscale/internal/settings"
 )
@@ -82,3 +84,44 @@
 	r.applyStatus(status)
 	require.Equal(t, catalog.RolloutCompleted, r.storedPhase)
 }
+
+// Guards against evidence that grows with the routes until it can not be sent, and against routes
+// whose counts never reach the other hosts: the routes of a large configuration, all in use.
+func TestEvidenceOnManyRoutesIsBoundedAndComplete(t *testing.T) {
+	for _, routes := range []int{350, 3500} {
+		sender, receiver := newTestRollouts("h1", time.Unix(1000, 0)), newTestRollouts("h2", time.Unix(1000, 0))
+		for i := range routes {
+			for n := range 10 {
+				sender.recordOutcome(gateway.Outcome{
+					Service: testOrder.Service, Version: "v1", Route: fmt.Sprintf("r-%07d", i), TimeToFirst: time.Duration(n*n*10) * time.Millisecond,
+				})
+			}
+		}
+		messages, largest, total := 0, 0, 0
+		held := receiver.active[testOrder.Service].evidence
+		for held.Total(rollout.CanaryPercent).Old.Success < uint64(10*routes) {
+			first, rest := sender.encodeEvidence()
+			size := 0
+			for _, data := range first {
+				size += len(data)
+				largest = max(largest, len(data))
+			}
+			for _, section := range rest {
+				size += len(section.Data)
+				largest = max(largest, len(section.Data))
+			}
+			total += size
+			require.LessOrEqual(t, size, maxEvidenceParts*maxEvidencePartBytes)
+			receiver.mergeEvidence(first, rest)
+			messages++
+			require.Less(t, messages, 100)
+		}
+		t.Logf("%d routes: %d messages of at most %d bytes each, the largest part has %d bytes", routes, messages, (total+messages-1)/messages, largest)
+		require.LessOrEqual(t, largest, gossip.MaxSectionBytes)
+
+		// The counts of the new version reach the others with the next message.
+		recordOutcomes(sender, 60)
+		receiver.mergeEvidence(sender.encodeEvidence())
+		require.EqualValues(t, 60, held.Total(rollout.CanaryPercent).New.Failure)
+	}
+}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -48,3 +48,13 @@
 	require.True(t, s.IsRefused(42, now))
 	require.False(t, s.IsRefused(42, now.Add(lossRetention)))
 }
+
+// Guards against losses that are forgotten because a datagram held only a part of another host's.
+func TestPartOfAReportKeepsTheRest(t *testing.T) {
+	now, s := time.Unix(1000, 0), NewSuspects()
+	s.SetPeerCounts("h1", map[uint64]int{1: maxRequestLosses, 2: maxRequestLosses, 3: maxRequestLosses})
+	s.SetPeerCountsWithin("h1", map[uint64]int{4: maxRequestLosses}, func(f uint64) bool { return f >= 3 })
+	require.True(t, s.IsRefused(2, now))
+	require.False(t, s.IsRefused(3, now), "covered and no longer named")
+	require.True(t, s.IsRefused(4, now))
+}
--- a/internal/rollout/counter.go
+++ b/internal/rollout/counter.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"cmp"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -115,6 +118,9 @@
 type trackedComparison struct {
 	Comparison
 	changedIn uint64
+	// newChangedIn is the same for the counts of the new version. sentIn is the sequence number
+	// of the last report part that contained the comparison.
+	newChangedIn, sentIn uint64
 }
 
 // Counter collects a daemon's evidence for one rollout. It is not safe for
@@ -142,6 +148,7 @@
 	}
 	comparison.changedIn = c.sequence + 1
 	if onNew {
+		comparison.newChangedIn = comparison.changedIn
 		comparison.New.add(o)
 	} else {
 		comparison.Old.add(o)
@@ -166,3 +173,67 @@
 	}
 	return r
 }
+
+// reportPartsRepeated is the number of report parts in which a change of the new version's counts
+// goes before all else, in case datagrams are lost or parts go to a few hosts only.
+const reportPartsRepeated = 32
+
+// ReportParts returns a part of the cumulative counts as encoded reports, each of which can be
+// merged without the others. They have at most maxParts x maxBytes bytes, so that what a host
+// sends does not grow with the number of routes. Routes on which the new version was used come
+// first, since a verdict waits for them, then those that were not sent for the longest time. At
+// least one report is returned.
+func (c *Counter) ReportParts(undone string, maxBytes, maxParts int) ([][]byte, error) {
+	keys := slices.Clone(c.keysInOrder)
+	recent := func(key stepRouteKey) bool { return c.counts[key].newChangedIn+reportPartsRepeated > c.sequence }
+	slices.SortStableFunc(keys, func(a, b stepRouteKey) int {
+		switch recentA, recentB := recent(a), recent(b); {
+		case recentA && !recentB:
+			return -1
+		case recentB && !recentA:
+			return 1
+		}
+		return cmp.Compare(c.counts[a].sentIn, c.counts[b].sentIn)
+	})
+	var parts [][]byte
+	for {
+		c.sequence++
+		part := encodedReport{Daemon: c.daemon, Incarnation: c.incarnation, Sequence: c.sequence, Counts: []json.RawMessage{}, Undone: undone}
+		size, err := encodedSize(part)
+		if err != nil {
+			return nil, err
+		}
+		for len(keys) > 0 {
+			counts := c.counts[keys[0]]
+			data, err := json.Marshal(RouteCounts{Step: keys[0].step, Route: keys[0].route, Comparison: counts.Comparison})
+			if err != nil {
+				return nil, err
+			}
+			if size += len(data) + len(","); size > maxBytes && len(part.Counts) > 0 {
+				break
+			}
+			part.Counts, counts.sentIn, keys = append(part.Counts, data), c.sequence, keys[1:]
+		}
+		data, err := json.Marshal(part)
+		if err != nil {
+			return nil, err
+		}
+		if parts = append(parts, data); len(keys) == 0 || len(parts) == maxParts {
+			return parts, nil
+		}
+	}
+}
+
+// encodedReport is a Report whose counts are encoded already.
+type encodedReport struct {
+	Daemon      string            `json:"daemon"`
+	Incarnation string            `json:"incarnation"`
+	Sequence    uint64            `json:"sequence"`
+	Counts      []json.RawMessage `json:"counts"`
+	Undone      string            `json:"undone,omitempty"`
+}
+
+func encodedSize(r encodedReport) (int, error) {
+	data, err := json.Marshal(r)
+	return len(data), err
+}
