Order engines while holding the duty

Cause: the decision on engine numbers had no demand to work on and nobody to carry it out. Change: the holder of the duty autoscale sums the loads that hosts report (on divided sites it asks one host of each cell), decides each second and orders under its token. Nothing is given up before the first demand, on an incomplete view, or while an order has no effect yet.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -42,8 +42,8 @@
 	// repeatStartups is the time, in starts of an engine, after which an order whose effect isn't
 	// seen is repeated.
 	repeatStartups = 3
-	// maxViewAge is the age above which demand is unknown: nothing is given up on such a view.
-	maxViewAge = 3 * time.Second
+	// MaxViewAge is the age above which demand is incomplete: nothing is given up on such a view.
+	MaxViewAge = 3 * time.Second
 )
 
 // Engine is the capacity of one engine.
@@ -75,6 +75,11 @@
 	PendingPromptTokens int
 }
 
+// Plus returns the sum of two demands.
+func (d Demand) Plus(o Demand) Demand {
+	return Demand{Requests: d.Requests + o.Requests, Tokens: d.Tokens + o.Tokens, PendingPromptTokens: d.PendingPromptTokens + o.PendingPromptTokens}
+}
+
 // Observation is the state of one data centre at a moment.
 type Observation struct {
 	DataCentre string
@@ -83,7 +88,8 @@
 	Ready, Starting int
 	// Unavailable is set while the data centre is taken out or has lost all its engines.
 	Unavailable bool
-	// ViewAge is the age of the oldest report that Demand is made of.
+	// ViewAge is the age of the oldest report that Demand is made of; above MaxViewAge Demand
+	// counts as incomplete.
 	ViewAge time.Duration
 }
 
@@ -121,11 +127,12 @@
 	// were ordered to go and haven't yet.
 	ready, givenUp int
 	// ordered is the last confirmed order; 0 is none. takenOver is set if it is an earlier holder's.
-	ordered       int
-	takenOver     bool
-	orderedAt     time.Time
-	lastDown      time.Time
-	firstSeen     time.Time
+	ordered   int
+	takenOver bool
+	orderedAt time.Time
+	lastDown  time.Time
+	// firstDemand is when the first demand was seen: before it nothing is known of what is needed.
+	firstDemand   time.Time
 	recordedAt    time.Time
 	unavailable   bool
 	needWhenLost  float64
@@ -217,18 +224,23 @@
 
 func (p *Planner) record(now time.Time, o Observation) {
 	c := p.centre(o.DataCentre)
-	if c.firstSeen.IsZero() {
-		c.firstSeen, c.recordedAt = now, now
+	need := p.service.Need(o.Demand)
+	if c.recordedAt.IsZero() {
+		c.recordedAt = now
+	}
+	if c.firstDemand.IsZero() && need > 0 {
+		c.firstDemand = now
 	}
 	if c.orderedAt.IsZero() && !c.takenOver {
 		// Without an order the number in force is at least the highest seen: some engines may be
 		// leaving or starting.
 		c.ordered = max(c.ordered, o.Ready+o.Starting)
 	}
-	if o.ViewAge > maxViewAge || o.Unavailable {
+	// Demand of which only a part is known may still be higher than before.
+	if o.Unavailable || o.ViewAge > MaxViewAge && need <= c.latestNeed() {
 		return
 	}
-	c.samples = append(c.samples, sample{at: now, need: p.service.Need(o.Demand)})
+	c.samples = append(c.samples, sample{at: now, need: need})
 	hold := p.holdOf(c)
 	oldest := now.Add(-hold)
 	c.samples = lo.DropWhile(c.samples, func(s sample) bool { return s.at.Before(oldest) })
@@ -326,7 +338,7 @@
 // effect, and the last engine that was given up has had time to empty.
 func (p *Planner) mayGiveUp(now time.Time, o Observation, c *dataCentre) bool {
 	startup := p.service.Bounds.Startup
-	known := o.ViewAge <= maxViewAge && len(c.samples) > 1 && now.Sub(c.firstSeen) >= p.holdOf(c) &&
+	known := o.ViewAge <= MaxViewAge && len(c.samples) > 1 && !c.firstDemand.IsZero() && now.Sub(c.firstDemand) >= p.holdOf(c) &&
 		c.samples[len(c.samples)-1].at.Sub(c.samples[0].at) >= p.holdOf(c)/2
 	return known && now.Sub(c.lastDown) >= startup && now.Sub(c.orderedAt) >= startup && o.Ready > 1 && o.Ready+o.Starting >= c.ordered
 }
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -203,6 +203,15 @@
 	assert.Equal(t, []Order{{"a", 15, Displaced}, {"b", 15, Displaced}}, p.Decide(now, all(true)))
 }
 
+// Guards against giving up engines while a system that has just started serves nobody yet.
+func TestNothingIsGivenUpBeforeTheFirstDemand(t *testing.T) {
+	p, now := NewPlanner(service, nil), time.Unix(0, 0)
+	for range 120 {
+		now = now.Add(time.Second)
+		assert.Empty(t, p.Decide(now, []Observation{observe("a", 15, 0)}))
+	}
+}
+
 // Guards against an order to start engines that stops some, since those of the moment were counted
 // while others were being replaced.
 func TestFirstOrderCountsFromTheMostEnginesSeen(t *testing.T) {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -291,6 +291,21 @@
 	return out
 }
 
+// OldestReport returns the age of the oldest report of the given peers, and false if one of them
+// has not reported.
+func (t *Tracker) OldestReport(peers []string, now time.Time) (age time.Duration, complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, peer := range peers {
+		r, known := t.peerReports[peer]
+		if !known {
+			return 0, false
+		}
+		age = max(age, now.Sub(r.receivedAt))
+	}
+	return age, true
+}
+
 // IsAvoided reports whether the upstream is avoided because of a recent failure.
 func (t *Tracker) IsAvoided(id string, now time.Time) bool {
 	t.mu.Lock()
--- a/internal/frontend/duties.go
+++ b/internal/frontend/duties.go
@@ -48,6 +48,7 @@
 	reporter *usage.Reporter
 	sender   *usage.Sender
 	usage    *duty.Duty
+	scaling  *scaling
 
 	mu sync.Mutex
 	// holder is the holder of the duty to report that other hosts have told of.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -205,6 +205,7 @@
 	peer.Register(f.peerServer, methodChanges, f.serveChanges)
 	f.copyScheduler.register(f.peerServer)
 	f.registerUsage()
+	f.registerDemand()
 	listener, err := net.Listen("tcp", s.Listen.Peer)
 	if err != nil {
 		return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gossip_unsent_total{reason=%q}`, reason)).Inc()
 }
 
+// RecordUpstreamOrder counts an order of a number of upstreams.
+func (m *Metrics) RecordUpstreamOrder(reason string, accepted bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_upstream_orders_total{reason=%q,accepted="%t"}`, reason, accepted)).Inc()
+}
+
 // RecordStatement counts a new statement of an upstream about itself.
 func (m *Metrics) RecordStatement(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_upstream_statements_total{kind=%q}`, kind)).Inc()
--- a/internal/gossip/cells.go
+++ b/internal/gossip/cells.go
@@ -88,6 +88,17 @@
 // OwnCellHosts returns the other hosts of this host's cell.
 func (c *Cells) OwnCellHosts() []Member { return c.hostsByCell[c.ownCell] }
 
+// OtherCells returns the hosts of each other cell.
+func (c *Cells) OtherCells() [][]Member {
+	var out [][]Member
+	for id, hosts := range c.hostsByCell {
+		if id != c.ownCell {
+			out = append(out, hosts)
+		}
+	}
+	return out
+}
+
 // HostsInCellOf returns the hosts of the cell that contains the given host or upstream.
 func (c *Cells) HostsInCellOf(dataCentre, name string) []Member {
 	return c.hostsByCell[c.cellOf(dataCentre, name)]
