Accept again after errors of a listener

peer.Server.Serve returned on any error of Accept but a time-out, and net/http returns on those that are not temporary (ENOBUFS, EPERM). A process that had no file descriptor for one connection ended with all its requests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattanscale/rattanscale/internal/accept"
 	"github.com/rattanscale/rattanscale/internal/auth"
 	"github.com/rattanscale/rattanscale/internal/callerapi"
 	"github.com/rattanscale/rattanscale/internal/changelog"
@@ -243,7 +244,7 @@
 		address  string
 		listener *net.Listener
 	}{{d.settings.Listen.Caller, &l.caller}, {d.settings.Listen.Operator, &l.operator}, {d.settings.Listen.Peer, &l.peer}} {
-		if *bind.listener, err = net.Listen("tcp", bind.address); err != nil {
+		if *bind.listener, err = accept.Listen("tcp", bind.address, d.log); err != nil {
 			return l, err
 		}
 	}
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattanscale/rattanscale/internal/accept"
 	"github.com/rattanscale/rattanscale/internal/gossip"
 )
 
@@ -38,7 +38,7 @@
 		if address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := accept.Listen("tcp", address, f.log)
 		if err != nil {
 			return err
 		}
@@ -57,7 +57,7 @@
 }
 
 func (f *FrontEnd) serveCallers(group *errgroup.Group) (*http.Server, error) {
-	listener, err := net.Listen("tcp", f.settings.Listen.Caller)
+	listener, err := accept.Listen("tcp", f.settings.Listen.Caller, f.log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -220,6 +221,34 @@
 	assert.Same(t, before, after)
 }
 
+// exhaustedListener fails the first Accept.
+type exhaustedListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a host that ends because it had no file descriptor left for a connection.
+func TestServeOutlastsAcceptErrors(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server, client := New(Options{Address: listener.Addr().String(), Key: "a shared key of the tests"})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(&exhaustedListener{Listener: listener}) }()
+	caller := startNode(t, Options{})
+	assert.NoError(t, caller.client.Call(t.Context(), listener.Addr().String(), methodPing, nil, nil))
+	require.NoError(t, client.Close())
+	require.NoError(t, server.Close())
+	require.NoError(t, <-served)
+}
+
 // Guards against accepting plain TCP where TLS is enabled, and against a receiver's
 // clock that stays behind the timestamp of a received message.
 func TestTLSAndClock(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 
+	"github.com/rattanscale/rattanscale/internal/accept"
 	"github.com/rattanscale/rattanscale/internal/failure"
 )
 
@@ -54,6 +55,7 @@
 // Serve accepts connections until Close is called, and then returns nil. It closes
 // the listener.
 func (s *Server) Serve(listener net.Listener) error {
+	listener = accept.Retry(listener, s.endpoint.options.Logger)
 	defer listener.Close()
 	if config := s.endpoint.options.ServerTLS; config != nil {
 		listener = tls.NewListener(listener, config)
@@ -68,10 +70,6 @@
 			if s.endpoint.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
-			}
 			return err
 		}
 		go s.accept(conn)
