Use a connection to an upstream again only at a message boundary

conn.idleIntact read with a deadline in the past. The runtime reports the time-out before it reads the socket, so that neither bytes nor the end of an idle connection were seen.

The kernel is asked (MSG_PEEK) right before the first byte is written, after BeforeSend, for new connections too. What arrives later is recognized by the response: a status line inside a field or the reason marks two merged heads, and a response counts only if it echoes the identifier of its request, also a refusal, also on a first connection. A response to none of the connection's recent requests ends the exchange. Calls without an identifier (copies, reports) do not follow each other on one connection. The pool knows the identifier of a response itself, for all its users.

TestEndlessResponsesAreBounded sends the earlier request first, since a response to an unknown request ends the exchange at once.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -94,7 +94,7 @@
 		settings: s, platform: p, log: log, metrics: gateway.NewMetrics(), loadTracker: balance.NewTracker(),
 		startedAt: time.Now(), fetchSlots: make(chan struct{}, maxServedFetches),
 	}
-	f.pool = hop.NewPool(f.metrics.RecordConnection)
+	f.pool = hop.NewPool(func(h http.Header) string { return p.Protocol.Response(0, h).ID }, f.metrics.RecordConnection)
 	f.members = gossip.NewTable(gossip.Member{
 		Name: s.Host.Name, Incarnation: time.Now().UnixMilli(), State: gossip.Starting, DataCentre: s.Host.DataCentre,
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer,
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -135,10 +135,6 @@
 	response, err := c.g.Pool.Do(c.ctx, u.Address, &hop.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.info.ID,
 		Header: c.g.Protocol.Forward(c.r.Header, d), MaxIdle: maxIdleConnections(c.service.MaxConnections, c.g.HostCount()),
-		AcceptResponse: func(h http.Header, first bool) bool {
-			id := c.g.Protocol.Response(0, h).ID
-			return id == c.info.ID || id == "" && first
-		},
 		BeforeSend: func() error { return c.checkTarget(u, d) },
 	})
 	if err != nil {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -65,6 +65,8 @@
 
 var (
 	errUnexpectedResponse = errors.New("upstream sent a response that does not belong to this request; the attempt counts as failed")
+	errMergedHeads        = errors.New("upstream sent a response head that contains another one; the attempt counts as failed")
+	errNotAtBoundary      = errors.New("upstream closed the new connection, or sent bytes on it, before the request; the request was not sent")
 	errSkippedTooLong     = fmt.Errorf("upstream sent a response to an earlier request with more than %d bytes; the attempt counts as failed", maxSkippedBytes)
 	errPoolClosed         = errors.New("the connection pool is closed; the request was not sent")
 )
@@ -77,14 +79,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID identifies the request; it may be empty. The request is not sent on a connection
-	// whose recent requests include one of the same identifier, because a late copy of that
-	// response could not be told apart.
+	// ID identifies the request; it may be empty. A response counts only if it echoes the same
+	// identifier, or none if ID is empty. The request is not sent on a connection whose recent
+	// requests include one of the same identifier, because a late copy of that response could
+	// not be told apart.
 	ID string
-	// AcceptResponse reports whether a response belongs to this request; nil accepts all. On
-	// a first connection no other request was sent before, so that no late response can
-	// arrive.
-	AcceptResponse func(h http.Header, first bool) bool
 	// BeforeSend is called once there is a connection, right before the first byte is
 	// written. After an error the request is not sent. It may be nil.
 	BeforeSend func() error
@@ -100,12 +99,15 @@
 	idle   map[string][]*conn
 	closed bool
 	dialer net.Dialer
-	onOpen func()
+	// responseID returns the identifier of the request that a response echoes, "" if none.
+	responseID func(h http.Header) string
+	onOpen     func()
 }
 
-// NewPool returns an empty pool. onOpen is called for each new connection and may be nil.
-func NewPool(onOpen func()) *Pool {
-	p := &Pool{idle: make(map[string][]*conn), onOpen: onOpen}
+// NewPool returns an empty pool. responseID returns the identifier of the request that a response
+// echoes, "" if it echoes none. onOpen is called for each new connection and may be nil.
+func NewPool(responseID func(h http.Header) string, onOpen func()) *Pool {
+	p := &Pool{idle: make(map[string][]*conn), responseID: responseID, onOpen: onOpen}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return p
 }
@@ -117,10 +119,8 @@
 	reader       *bufio.Reader
 	lastUsed     time.Time
 	reuseTimeout time.Duration
-	served       int
-	// recentIDs holds the identifiers of the latest requests; the next one is stored at index
-	// served modulo its length.
-	recentIDs [rememberedIDs]string
+	// recentIDs holds the identifiers of the latest requests, the oldest first.
+	recentIDs []string
 }
 
 // rememberedIDs is the number of requests of a connection after which a late copy of a
@@ -176,8 +176,8 @@
 	}
 }
 
-// takeIdle returns an idle connection for a request, or nil if there is none.
-func (p *Pool) takeIdle(address, requestID string, now time.Time) (*conn, error) {
+// takeIdle returns an idle connection that may carry the request, or nil if there is none.
+func (p *Pool) takeIdle(address string, r *Request, now time.Time) (*conn, error) {
 	for {
 		p.mu.Lock()
 		if p.closed {
@@ -192,29 +192,41 @@
 		c := conns[len(conns)-1]
 		p.idle[address] = conns[:len(conns)-1]
 		p.mu.Unlock()
-		carriedSame := requestID != "" && slices.Contains(c.recentIDs[:], requestID)
-		if !carriedSame && now.Sub(c.lastUsed) <= c.reuseTimeout && c.idleIntact() {
+		if !slices.Contains(c.recentIDs, r.ID) && now.Sub(c.lastUsed) <= c.reuseTimeout {
 			return c, nil
 		}
 		_ = c.Conn.Close()
 	}
 }
 
-// idleIntact reports whether an idle connection is still open and has received nothing. Bytes
-// that arrive between requests belong to no request, so such a connection must not be reused.
-func (c *conn) idleIntact() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	_ = c.SetReadDeadline(time.Now().Add(-time.Second))
-	_, err := c.reader.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	var timeout net.Error
-	if !errors.As(err, &timeout) || !timeout.Timeout() {
-		return false
+// connect returns a connection that is at the start of a message, so that the next byte on it is
+// the first of the response. It calls BeforeSend before it checks the connection.
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*conn, error) {
+	for {
+		c, err := p.takeIdle(address, r, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		isNew := c == nil
+		if isNew {
+			if c, err = p.dial(ctx, address); err != nil {
+				return nil, err
+			}
+		}
+		if r.BeforeSend != nil {
+			if err := r.BeforeSend(); err != nil {
+				p.putIdle(c, time.Now(), r.idleLimit())
+				return nil, err
+			}
+		}
+		if c.atBoundary() {
+			return c, nil
+		}
+		_ = c.Conn.Close()
+		if isNew {
+			return nil, errNotAtBoundary
+		}
 	}
-	c.reader.Reset(c.head) // clears the read error that the reader holds after Peek
-	return true
 }
 
 func (p *Pool) putIdle(c *conn, now time.Time, limit int) {
@@ -261,31 +273,19 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Progress: NotSent, Cause: err}
 	}
-	c, err := p.takeIdle(address, r.ID, time.Now())
+	c, err := p.connect(ctx, address, r)
 	if err != nil {
 		return nil, &Error{Progress: NotSent, Cause: err}
 	}
-	if c == nil {
-		if c, err = p.dial(ctx, address); err != nil {
-			return nil, &Error{Progress: NotSent, Cause: err}
-		}
-	}
-	if r.BeforeSend != nil {
-		if err := r.BeforeSend(); err != nil {
-			p.putIdle(c, time.Now(), r.idleLimit())
-			return nil, &Error{Progress: NotSent, Cause: err}
-		}
-	}
 	// Closing the connection makes the upstream stop its work.
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
-	head, err := c.exchange(r)
+	head, err := p.exchange(c, r)
 	if err != nil {
 		stop()
 		_ = c.Conn.Close()
 		return nil, &Error{Progress: Sent, Cause: err}
 	}
-	c.recentIDs[c.served%rememberedIDs] = r.ID
-	c.served++
+	c.remember(r.ID)
 	c.applyKeepAlive(head)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Framed: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
@@ -298,9 +298,9 @@
 
 func (r *Request) closes() bool { return strings.EqualFold(r.Header.Get("Connection"), "close") }
 
-func (c *conn) exchange(r *Request) (*http.Response, error) {
+func (p *Pool) exchange(c *conn, r *Request) (*http.Response, error) {
 	writeDone := c.send(r.encode())
-	response, err := c.receive(r)
+	response, err := p.receive(c, r)
 	if err != nil {
 		return nil, err
 	}
@@ -330,7 +330,7 @@
 	return written
 }
 
-func (c *conn) receive(r *Request) (*http.Response, error) {
+func (p *Pool) receive(c *conn, r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
 	for range maxSkippedResponses + 1 {
 		c.head.begin()
@@ -342,10 +342,14 @@
 		if response.StatusCode < http.StatusOK { // informational responses (1xx)
 			continue
 		}
-		if r.AcceptResponse == nil || r.AcceptResponse(response.Header, c.served == 0) {
+		if containsHead(response) {
+			return nil, errMergedHeads
+		}
+		id := p.responseID(response.Header)
+		if id == r.ID {
 			return response, nil
 		}
-		if response.Close {
+		if response.Close || !slices.Contains(c.recentIDs, id) {
 			return nil, errUnexpectedResponse
 		}
 		// The upstream answered an earlier request twice; the response to this one follows.
@@ -358,6 +362,14 @@
 	return nil, errUnexpectedResponse
 }
 
+// remember records the identifier of a request that the connection has carried.
+func (c *conn) remember(id string) {
+	if len(c.recentIDs) == rememberedIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+	c.recentIDs = append(c.recentIDs, id)
+}
+
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
 	b.Grow(512 + len(r.Body))
--- a/internal/hop/conn_test.go
+++ b/internal/hop/conn_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		arrived <- struct{}{}
 		<-together
+		w.Header().Set("Id", r.Header.Get("Id"))
 		_, _ = io.WriteString(w, "answer")
 	}))
 	server.Config.ConnState = func(c net.Conn, s http.ConnState) {
@@ -34,14 +36,14 @@
 	}
 	server.Start()
 	t.Cleanup(server.Close)
-	pool := NewPool(nil)
+	pool := NewPool(idHeader, nil)
 	t.Cleanup(pool.Close)
 	var calls sync.WaitGroup
-	for range 6 {
+	for i := range 6 {
 		calls.Go(func() {
-			response, err := pool.Do(t.Context(), server.Listener.Addr().String(), &Request{
-				Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, MaxIdle: 2,
-			})
+			request := requestWithID(fmt.Sprint(i))
+			request.MaxIdle = 2
+			response, err := pool.Do(t.Context(), server.Listener.Addr().String(), request)
 			if !assert.NoError(t, err) {
 				return
 			}
--- a/internal/hop/faults_test.go
+++ b/internal/hop/faults_test.go
@@ -76,13 +76,11 @@
 func requestWithID(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/", Host: "a", ID: id, Header: http.Header{"Id": {id}},
-		AcceptResponse: func(h http.Header, first bool) bool {
-			got := h.Get("Id")
-			return got == id || got == "" && first
-		},
 	}
 }
 
+func idHeader(h http.Header) string { return h.Get("Id") }
+
 // maxHeapGrowth is how much the heap may grow while 100 connections receive bytes without
 // end; the smallest hosts have 112 MB.
 const maxHeapGrowth = 32 << 20
@@ -93,13 +91,44 @@
 	return s.HeapInuse
 }
 
+// keepConnections leaves idle connections in the pool that have carried a request, so that its
+// response may come again on them.
+func keepConnections(t *testing.T, pool *Pool, address, id string, count int) {
+	t.Helper()
+	var responses []*Response
+	for range count {
+		request := requestWithID(id)
+		request.MaxIdle = count
+		response, err := pool.Do(t.Context(), address, request)
+		require.NoError(t, err)
+		responses = append(responses, response)
+	}
+	for _, response := range responses {
+		response.Drain()
+	}
+}
+
 // Guards against an upstream that exhausts the memory of its callers by bytes without end.
 func TestEndlessResponsesAreBounded(t *testing.T) {
 	for name, response := range endlessResponses {
 		t.Run(name, func(t *testing.T) {
-			address := startUpstream(t, func(c net.Conn) { writeEndlessly(c, response[0], response[1]) })
-			pool := NewPool(nil)
+			address := startUpstream(t, func(c net.Conn) {
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if r.Header.Get("Id") != "other" {
+						writeEndlessly(c, response[0], response[1])
+						return
+					}
+					answer(c, "other", "x")
+				}
+			})
+			pool := NewPool(idHeader, nil)
 			defer pool.Close()
+			keepConnections(t, pool, address, "other", 100)
 			runtime.GC()
 			before, highest := heapInUse(), uint64(0)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -143,9 +172,9 @@
 	body := strings.Repeat("line\n", 200<<10)
 	address := startUpstream(t, func(c net.Conn) {
 		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		answer(c, "a", body)
 	})
-	pool := NewPool(nil)
+	pool := NewPool(idHeader, nil)
 	defer pool.Close()
 	response, err := pool.Do(t.Context(), address, requestWithID("a"))
 	require.NoError(t, err)
@@ -205,7 +234,7 @@
 						}
 					}
 				})
-				pool := NewPool(nil)
+				pool := NewPool(idHeader, nil)
 				defer pool.Close()
 				read := func(id string) (string, error) {
 					ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
@@ -258,7 +287,7 @@
 			answer(c, r.Header.Get("Id"), "x")
 		}
 	})
-	pool := NewPool(nil)
+	pool := NewPool(idHeader, nil)
 	defer pool.Close()
 	for _, id := range []string{"a", "b", "b", "c", "d", "b"} {
 		response, err := pool.Do(t.Context(), address, requestWithID(id))
@@ -281,7 +310,7 @@
 		_, _ = reader.ReadByte()
 		close(closed)
 	})
-	pool := NewPool(nil)
+	pool := NewPool(idHeader, nil)
 	response, err := pool.Do(t.Context(), address, requestWithID("a"))
 	require.NoError(t, err)
 	pool.Close()
@@ -300,7 +329,7 @@
 // Guards against a response whose head was cut anywhere and that is taken for a complete one, with
 // an empty or a short body.
 func TestCutHeadIsNoResponse(t *testing.T) {
-	const head = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Request: r1\r\nContent-Length: 8000\r\nX-Signature: abc\r\nX-Folded: a\r\n b\r\n\r\n"
+	const head = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 8000\r\nX-Signature: abc\r\nX-Folded: a\r\n b\r\n\r\n"
 	for _, framing := range []string{"Content-Length: 8000", "Transfer-Encoding: chunked", "Connection: close"} {
 		full := strings.Replace(head, "Content-Length: 8000", framing, 1)
 		for _, text := range []string{full, strings.ReplaceAll(full, "\r\n", "\n")} {
@@ -310,7 +339,7 @@
 					_, _ = io.WriteString(c, text[:cut])
 				}
 			})
-			pool := NewPool(nil)
+			pool := NewPool(idHeader, nil)
 			for cut = range len(text) {
 				response, err := pool.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", ID: "r1"})
 				if err == nil {
