Let hosts find each other through a table in the store

Cause: hosts knew others only from the seeds of their settings, which may be stale or down, and read them once at the start.

Change: internal/discovery keeps the declared table of hosts. The first hosts by rank of each group of hosts that know each other read it, register the members of the group, contact the hosts that the group does not know, and remove, on condition of the row's revision, rows of hosts that were gone for 5 minutes. A host that knows no other is a group of its own. Hosts that see no more than half of those last known, counting the table, share limits as one of all of these; the size of the table spreads by gossip. Changed seeds take effect at SIGHUP and are contacted.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,6 +15,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/discovery"
 	"github.com/rattanscale/rattanscale/internal/follow"
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
@@ -44,6 +46,8 @@
 	Engines  func(pool *hop.Pool) gateway.Engines
 	// Store returns a client of the store; it calls count after each call.
 	Store func(address string, count func(call, outcome string)) follow.Store
+	// Hosts returns the table of hosts in a store.
+	Hosts func(follow.Store) discovery.Store
 	// Catalog returns empty mirrored tables. Changes of Operator and Upstreams call publish with
 	// a new catalog.
 	Catalog func(log logr.Logger, publish func(*catalog.Catalog)) Catalog
@@ -84,6 +88,14 @@
 	startedAt  time.Time
 	fetchSlots chan struct{}
 
+	// sharesBeyondLive is set while more hosts share the limits than this one sees; only the
+	// goroutine of housekeeping uses it.
+	sharesBeyondLive bool
+
+	changedSeeds atomic.Pointer[[]string]
+	// startedGossip is gossip once it runs; the settings may change earlier.
+	startedGossip atomic.Pointer[gossip.Transport]
+
 	// fetches holds the running fetches by table.
 	fetches map[string]*tableFetches
 }
@@ -104,7 +116,7 @@
 	f.gateway = gateway.New(gateway.Options{
 		PlainPolicy: s.Policy == PolicyPlain, CopyScheduler: f.copyScheduler, OnOutcome: f.rollouts.recordOutcome, AnnounceNotices: f.announce, ScheduleReport: f.sendToAllNextRound, Cell: f.ownCell,
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
-		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.liveHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
+		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.sharingHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
 	})
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
 	f.catalog = p.Catalog(log, func(c *catalog.Catalog) {
@@ -142,8 +154,8 @@
 	return u.DataCentre, true
 }
 
-// liveHostCount returns the number of live hosts including this one, which share the limits.
-func (f *FrontEnd) liveHostCount() int { return f.members.CountLive(time.Now()) + 1 }
+// sharingHostCount returns the number of hosts, including this one, that share the limits.
+func (f *FrontEnd) sharingHostCount() int { return f.members.SharingHosts(time.Now()) }
 
 // Run serves until ctx ends or a server fails, then drains.
 func (f *FrontEnd) Run(ctx context.Context) error {
@@ -162,6 +174,7 @@
 		return nil
 	})
 	group.Go(func() error { f.runHousekeeping(workCtx); return nil })
+	group.Go(func() error { f.runDiscovery(workCtx); return nil })
 	group.Go(func() error { f.gateway.WatchLeavingEngines(workCtx, f.upstreamsAge); return nil })
 	if err := f.serveAuxiliary(workCtx, group); err != nil {
 		return err
@@ -204,9 +217,10 @@
 		return err
 	}
 	f.gossip = &gossip.Transport{
-		Table: f.members, Conn: conn, Seeds: f.seeds(), Compose: f.composeMessage, OnReceived: f.onMessage,
+		Table: f.members, Conn: conn, Seeds: f.otherSeeds(f.seeds()), Compose: f.composeMessage, OnReceived: f.onMessage,
 		LoadsChanged: f.loadTracker.Changed(), LocateUpstream: f.dataCentreOf, OnUnsent: f.metrics.RecordUnsentGossip, Log: f.log,
 	}
+	f.startedGossip.Store(f.gossip)
 	group.Go(func() error { return f.peerServer.Serve(listener) })
 	group.Go(func() error { f.gossip.Run(ctx); return nil })
 	context.AfterFunc(ctx, func() {
@@ -216,18 +230,6 @@
 	return nil
 }
 
-// isSeed reports whether this host is a seed of the other hosts; without configured seeds every
-// host is one.
-func (f *FrontEnd) isSeed() bool {
-	seeds := f.settings.Peers.Seeds
-	return len(seeds) == 0 || lo.Contains(seeds, f.settings.Listen.Peer)
-}
-
-// seeds returns the peer addresses of the other seed hosts.
-func (f *FrontEnd) seeds() []string {
-	return lo.Without(f.settings.Peers.Seeds, f.settings.Listen.Peer)
-}
-
 func (f *FrontEnd) tables() []*follow.Table {
 	return []*follow.Table{f.catalog.Operator, f.catalog.Upstreams, f.catalog.Statuses}
 }
@@ -236,7 +238,7 @@
 	now := time.Now()
 	if full {
 		evidence, rest := f.rollouts.encodeEvidence()
-		m.Evidence, m.Sections = evidence, append(m.Sections, rest...)
+		m.Evidence, m.Sections = evidence, append(f.storedHostsSection(), rest...)
 	}
 	switch m.Content {
 	case gossip.AllLoads:
@@ -276,6 +278,7 @@
 	case m.Split.Losses != nil:
 		f.gateway.Suspects().SetPeerCountsWithin(m.Self.Name, m.Losses, m.Split.Losses.Contains)
 	}
+	f.mergeStoredHosts(m.Sections)
 	f.rollouts.mergeEvidence(m.Evidence, m.Sections)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
@@ -379,6 +382,7 @@
 }
 
 func (f *FrontEnd) housekeepOnce(ctx context.Context, now time.Time) {
+	f.recordHostCounts(now)
 	f.catalog.EvictExpired(now)
 	f.rollouts.evaluate(ctx, now)
 	f.pool.CloseStale(now)
--- a/internal/frontend/main.go
+++ b/internal/frontend/main.go
@@ -72,5 +72,6 @@
 		return
 	}
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
+	f.setSeeds(s.Peers.Seeds)
 	f.log.Info("settings reloaded", "file", file)
 }
--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -294,7 +294,7 @@
 		}
 	}
 	bounds := rollout.ExposureBounds{Share: f.settings.Rollout.Share, Slack: f.settings.Rollout.Slack}
-	perSecond := f.gateway.RequestRate(service, now) * float64(f.liveHostCount())
+	perSecond := f.gateway.RequestRate(service, now) * float64(f.sharingHostCount())
 	return t.canary.RequestShare(bounds, perSecond, float64(onVersion)/float64(max(usable, 1)))
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -53,6 +53,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gossip_unsent_total{reason=%q}`, reason)).Inc()
 }
 
+// SetHostCounts sets the numbers of live hosts and of hosts that share the limits.
+func (m *Metrics) SetHostCounts(live, sharing int) {
+	m.set.GetOrCreateGauge(`rattanscale_gossip_hosts{counted="live"}`, nil).Set(float64(live))
+	m.set.GetOrCreateGauge(`rattanscale_gossip_hosts{counted="sharing"}`, nil).Set(float64(sharing))
+}
+
 // RecordStatement counts a new statement of an upstream about itself.
 func (m *Metrics) RecordStatement(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_upstream_statements_total{kind=%q}`, kind)).Inc()
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -128,6 +129,9 @@
 	// maxMembersForStartingHost those in the reply to a starting host.
 	maxMembersPerMessage      = 3
 	maxMembersForStartingHost = 24
+	// unknownSiteHosts is the number of hosts that a host assumes while it knows no other and has
+	// not read how many there are.
+	unknownSiteHosts = 64
 )
 
 type entry struct {
@@ -162,6 +166,15 @@
 
 	cells        atomic.Pointer[Cells]
 	limitSharers atomic.Pointer[upstreamlimit.Sharers]
+	stored       atomic.Pointer[StoredHosts]
+}
+
+// StoredHosts is what is known of the table of hosts in the store.
+type StoredHosts struct {
+	// Count is the number of hosts in the table as of the store's revision. If Revision is 0,
+	// there may be more.
+	Count    int
+	Revision uint64
 }
 
 // NewTable returns a table that knows only its own host.
@@ -343,8 +356,9 @@
 			delete(t.others, name)
 		}
 	}
-	t.limitSharers.Store(upstreamlimit.NewSharers(t.self.Name, slices.Collect(maps.Keys(t.others))))
-	cells := divideIntoCells(t.self, t.liveLocked(now))
+	live := t.liveLocked(now)
+	t.limitSharers.Store(upstreamlimit.NewSharers(t.self.Name, t.limitSharersLocked(len(live)+1)))
+	cells := divideIntoCells(t.self, live)
 	for name, e := range t.others {
 		e.inOtherCell = !cells.InOwnCell(e.member.DataCentre, name)
 	}
@@ -428,6 +442,14 @@
 	return e != nil && !e.inOtherCell
 }
 
+// isLive reports whether another host is known and live.
+func (t *Table) isLive(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.others[name]
+	return e != nil && e.live(now)
+}
+
 // PeerAddress returns the address of a host for calls by other hosts, and whether the host is known.
 func (t *Table) PeerAddress(name string) (string, bool) {
 	t.mu.Lock()
@@ -439,6 +461,62 @@
 	return e.member.PeerAddress, true
 }
 
+// limitSharersLocked returns the names of the other hosts that share the limits of upstreams.
+func (t *Table) limitSharersLocked(live int) []string {
+	names := slices.Collect(maps.Keys(t.others))
+	// Hosts that are not known by name count with a name that only holds their places.
+	for i := len(names) + 1; i < t.sharingHostsLocked(live); i++ {
+		names = append(names, "unknown host "+strconv.Itoa(i))
+	}
+	return names
+}
+
+// SharingHosts returns the number of hosts, including this one, that share the limits of the site:
+// cold rates, retry budgets, exposure to new versions. It is the number of live hosts, unless this
+// host knows that others may run from which it is cut off: while it sees no more than half of the
+// hosts that were last known, all of these count.
+func (t *Table) SharingHosts(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	live := 1
+	for _, e := range t.others {
+		if e.live(now) {
+			live++
+		}
+	}
+	return t.sharingHostsLocked(live)
+}
+
+func (t *Table) sharingHostsLocked(live int) int {
+	lastKnown := len(t.others) + 1
+	if stored := t.stored.Load(); stored != nil {
+		lastKnown = max(lastKnown, stored.Count)
+	} else if lastKnown == 1 {
+		lastKnown = unknownSiteHosts
+	}
+	if 2*live > lastKnown {
+		return live
+	}
+	return lastKnown
+}
+
+// MergeStoredHosts takes over a newer state of the table of hosts.
+func (t *Table) MergeStoredHosts(s StoredHosts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if held := t.stored.Load(); held == nil || s.Revision > held.Revision || s.Revision == held.Revision && s.Count > held.Count {
+		t.stored.Store(&s)
+	}
+}
+
+// StoredHosts returns the newest known state of the table of hosts, and whether there is one.
+func (t *Table) StoredHosts() (StoredHosts, bool) {
+	if s := t.stored.Load(); s != nil {
+		return *s, true
+	}
+	return StoredHosts{}, false
+}
+
 // LimitSharers returns the hosts that share the limits of upstreams, as of the last Refresh. Hosts
 // that were seen in the last minute count, also failed ones: they may be cut off from this host
 // only, and use their share.
@@ -447,6 +525,24 @@
 // Rank returns this host's rank by name, from 0, among the live hosts that are not draining.
 func (t *Table) Rank(now time.Time) int { return t.rank(t.Live(now)) }
 
+// RankByHash returns this host's rank by a hash of the name, from 0, among the live hosts of the
+// site that are not draining, and the number of other live hosts.
+func (t *Table) RankByHash(now time.Time) (rank, liveCount int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := retry.Hash(t.self.Name)
+	for name, e := range t.others {
+		if !e.live(now) {
+			continue
+		}
+		liveCount++
+		if e.member.State != Draining && retry.Hash(name) < own {
+			rank++
+		}
+	}
+	return rank, liveCount
+}
+
 // CellRanks returns this host's ranks, from 0, among the live hosts of its cell that are not
 // draining: by name, and by a hash of the name, which mixes the hosts of the data centres. The
 // second counts only hosts that were seen recently: a host that is cut off from the others must
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -58,7 +58,8 @@
 type Transport struct {
 	Table *Table
 	Conn  Conn
-	// Seeds are the addresses that are also sent to while fewer hosts than seeds are known.
+	// Seeds are the addresses that are also sent to while fewer hosts than seeds are known;
+	// SetSeeds replaces them.
 	Seeds []string
 	// Compose sets the fields of a message other than its members.
 	Compose func(m *Message, full bool)
@@ -81,6 +82,8 @@
 	addressesAskedAt time.Time
 	// roundCount counts the regular rounds; only the goroutine of Run uses it.
 	roundCount int64
+	newSeeds   atomic.Pointer[[]string]
+	contacts   contacts
 	// composeMu ensures that a message with a higher heartbeat carries newer content.
 	composeMu sync.Mutex
 
@@ -131,12 +134,23 @@
 	if cells.Divided() && t.roundCount%int64(digestInterval/RoundInterval) == 0 {
 		t.sendDigest(cells)
 	}
+	t.sendToContacts()
 	if t.sendToAllRequested.Swap(false) && cells.Divided() {
 		now := time.Now()
 		t.sendToHosts(t.composeAndMarshal(now, true, Message{Content: NoLoads}), t.Table.Live(now))
 	}
 }
 
+// sendToContacts sends the first datagram of a full message, which has the addresses of this host,
+// to hosts that are not known yet.
+func (t *Transport) sendToContacts() {
+	now := time.Now()
+	if targets := t.contacts.next(func(name string) bool { return t.Table.isLive(name, now) }); len(targets) > 0 {
+		data := t.composeAndMarshal(now, true, Message{Content: NoLoads})
+		t.sendToHosts(data[:min(len(data), 1)], targets)
+	}
+}
+
 // SendNow sends the state of this host to all hosts of its cell without waiting for the next round.
 func (t *Transport) SendNow() { t.sendToCell(maxUndividedHosts) }
 
@@ -152,7 +166,8 @@
 	if !cells.Divided() {
 		targets = t.Table.Targets(now, limit)
 	}
-	full := t.fullRequested.Swap(false) || t.sendCount.Add(1)%roundsPerIntroduction == 1 || len(targets) < len(t.Seeds)
+	seeds := t.seeds()
+	full := t.fullRequested.Swap(false) || t.sendCount.Add(1)%roundsPerIntroduction == 1 || len(targets) < len(seeds)
 	withLoads, withoutLoads := t.composeAndMarshal(now, full, Message{}), datagrams(nil)
 	for _, m := range targets {
 		if t.Table.MarkFullLoadsIfDue(m.Name, now) {
@@ -164,13 +179,30 @@
 		}
 		t.send(withoutLoads, m.PeerAddress)
 	}
-	if len(targets) < len(t.Seeds) {
-		for _, seed := range t.Seeds {
+	if len(targets) < len(seeds) {
+		for _, seed := range seeds {
 			t.send(withLoads, seed)
 		}
 	}
 }
 
+func (t *Transport) seeds() []string {
+	if seeds := t.newSeeds.Load(); seeds != nil {
+		return *seeds
+	}
+	return t.Seeds
+}
+
+// SetSeeds replaces the seeds and sends to the new ones in the next rounds.
+func (t *Transport) SetSeeds(seeds []string) {
+	t.newSeeds.Store(&seeds)
+	t.Contact(lo.Map(seeds, func(address string, _ int) Member { return Member{PeerAddress: address} }))
+}
+
+// Contact sends to hosts in the next rounds, a few of them in each, until they are known. Hosts
+// without a name are sent to a fixed number of times.
+func (t *Transport) Contact(hosts []Member) { t.contacts.add(hosts) }
+
 // SendFullNext makes the next message to the cell a full one.
 func (t *Transport) SendFullNext() { t.fullRequested.Store(true) }
 
