--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -21,11 +21,17 @@
 	callShare = 0.25
 	// taskInterval is the interval at which the holder runs the task of a duty.
 	taskInterval = 250 * time.Millisecond
+	// After yieldTerms terms in which no call had an answer, the holder leaves the duty to other
+	// hosts for yieldPauseTerms terms: it may be the only one that does not reach the platform.
+	yieldTerms      = 1
+	yieldPauseTerms = 2
 )
 
 var (
 	// ErrNotHeld reports that this host does not hold the duty; nothing was sent.
 	ErrNotHeld = errors.New("this host does not hold the duty; the call was not sent")
+	// ErrStorePaused reports that a call to the store has just failed; nothing was written.
+	ErrStorePaused = errors.New("a call to the store has just failed; nothing was written, try again later")
 	// ErrSuperseded reports that the platform has seen a higher token. The call was not executed.
 	ErrSuperseded = errors.New("the platform has seen a higher fencing token; the call was not executed")
 	// ErrThrottled reports that the platform did not execute the call because of its rate.
@@ -95,9 +101,14 @@
 
 	mu      sync.Mutex
 	tracker *Tracker
+	// writtenAt is the end of the last write. A read that began before shows an older row.
+	writtenAt Instant
 	// writeMu is held during a write of the row, and callMu during a call to the platform.
 	writeMu, callMu sync.Mutex
 	wake, granted   chan struct{}
+	// unansweredSince is the start of the first call since the last answer; 0 if the last call had
+	// one. callMu guards it.
+	unansweredSince Instant
 }
 
 // Add adds a duty. While this host holds it, task is called again and again; it must return soon.
@@ -185,7 +196,10 @@
 
 func (d *Duty) read(ctx context.Context) {
 	r := d.runner
-	rows, revision, startedAt, err := r.readRows(ctx)
+	d.mu.Lock()
+	since := d.writtenAt
+	d.mu.Unlock()
+	rows, revision, startedAt, err := r.readRows(ctx, since)
 	now := r.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -203,13 +217,13 @@
 	}
 }
 
-// readRows reads all rows, or returns those of a read that another duty has just made.
-func (r *Runner) readRows(ctx context.Context) (map[string]Observation, uint64, Instant, error) {
+// readRows reads all rows, or returns those of a read that another duty has just made, after since.
+func (r *Runner) readRows(ctx context.Context, since Instant) (map[string]Observation, uint64, Instant, error) {
 	const shareWithin = 200 * time.Millisecond
 	r.readMu.Lock()
 	defer r.readMu.Unlock()
 	startedAt := r.Now()
-	if r.lastRead != nil && startedAt.Sub(r.lastReadAt) < shareWithin {
+	if r.lastRead != nil && r.lastReadAt > since && startedAt.Sub(r.lastReadAt) < shareWithin {
 		return r.lastRead, r.lastStore, r.lastReadAt, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -235,7 +249,8 @@
 	defer cancel()
 	revision, result, err := r.Store.WriteRow(ctx, d.Name, row, expected)
 	d.mu.Lock()
-	d.tracker.Wrote(row, result, revision, startedAt, r.Now())
+	d.writtenAt = r.Now()
+	d.tracker.Wrote(row, result, revision, startedAt, d.writtenAt)
 	token := d.tracker.token
 	d.mu.Unlock()
 	d.countWrite(action, result)
@@ -310,9 +325,19 @@
 	if g, held := d.Grant(); !held || g.Token != token {
 		return ErrNotHeld
 	}
+	if d.storePaused() {
+		return ErrStorePaused
+	}
 	return d.write(ctx, Confirm, state)
 }
 
+// storePaused reports whether a call to the store has just failed.
+func (d *Duty) storePaused() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tracker.StorePaused(d.runner.Now())
+}
+
 // Do makes one call to the platform under a token, if the claim is good for the whole call;
 // otherwise the claim is confirmed first.
 func (d *Duty) Do(ctx context.Context, token uint64, call func(ctx context.Context, o Order) error) error {
@@ -321,6 +346,9 @@
 	callTime := time.Duration(callShare * float64(d.runner.Term))
 	g, held := d.Grant()
 	if held && g.Until.Sub(d.runner.Now()) < callTime {
+		if d.storePaused() {
+			return ErrNotHeld
+		}
 		if err := d.write(ctx, Confirm, nil); err != nil {
 			return errors.Join(ErrNotHeld, err)
 		}
@@ -331,6 +359,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	startedAt := d.runner.Now()
 	err := call(ctx, Order{Holder: d.runner.Host, Token: token, Until: d.runner.Now().Add(callTime)})
 	d.runner.Metrics.GetOrCreateCounter(fmt.Sprintf(`rattanscale_duty_calls_total{duty=%q,outcome=%q}`, d.Name, outcome(err))).Inc()
 	if err != nil {
@@ -339,9 +368,28 @@
 	if errors.Is(err, ErrSuperseded) {
 		d.Retire(token)
 	}
+	d.yieldIfUnanswered(errors.Is(err, ErrUnknownOutcome), startedAt)
 	return err
 }
 
+// yieldIfUnanswered leaves the duty to other hosts if no call has had an answer for some time.
+func (d *Duty) yieldIfUnanswered(unanswered bool, startedAt Instant) {
+	r := d.runner
+	switch now := r.Now(); {
+	case !unanswered:
+		d.unansweredSince = 0
+	case d.unansweredSince == 0:
+		d.unansweredSince = startedAt
+	case now.Sub(d.unansweredSince) >= yieldTerms*r.Term:
+		d.unansweredSince = 0
+		d.mu.Lock()
+		d.tracker.Yield(now.Add(yieldPauseTerms * r.Term))
+		d.mu.Unlock()
+		r.Log.Info("duty yielded: the platform does not answer this host", "duty", d.Name)
+		notify(d.wake)
+	}
+}
+
 func outcome(err error) string {
 	switch {
 	case err == nil:
--- a/internal/duty/tracker.go
+++ b/internal/duty/tracker.go
@@ -20,8 +20,9 @@
 	// to maxClaimDelay. The hosts of lower rank then see that the row has changed.
 	claimStagger  = 200 * time.Millisecond
 	maxClaimDelay = time.Second
-	// retryPause is the pause after a failed call to the store.
-	retryPause = 300 * time.Millisecond
+	// minRetryPause is the pause after a failed call to the store. It doubles up to maxRetryPause.
+	minRetryPause = 300 * time.Millisecond
+	maxRetryPause = 2 * time.Second
 	// maxWait bounds how long a decision to wait holds, since ranks change.
 	maxWait = time.Second
 )
@@ -107,6 +108,8 @@
 	unchangedSince Instant
 	readAt         Instant
 	nextCallAt     Instant
+	retryPause     time.Duration
+	startedAt      Instant
 	// mustRead is set while the row may have another revision than the one seen.
 	mustRead bool
 
@@ -119,6 +122,8 @@
 	notBefore Instant
 	// retired is the highest token that this process must not use again.
 	retired uint64
+	// yieldedUntil is the end of the time in which this host leaves the duty to others.
+	yieldedUntil Instant
 }
 
 // NewTracker returns a tracker of a duty that is started now at a host. process identifies the
@@ -127,7 +132,7 @@
 // for clocks of different rates.
 func NewTracker(host, process string, term, margin time.Duration, now Instant) *Tracker {
 	// An earlier process of this host may have acted just before.
-	return &Tracker{host: host, process: process, term: term, margin: margin, notBefore: now.Add(term), nextCallAt: now.Add(term / 2)}
+	return &Tracker{host: host, process: process, term: term, margin: margin, startedAt: now, notBefore: now.Add(term), nextCallAt: now.Add(term / 2)}
 }
 
 // Next returns what to do now. rank is this host's place among the live hosts, from 0; willing is
@@ -146,8 +151,11 @@
 }
 
 func (t *Tracker) nextDue(now Instant, rank int, willing bool) (Instant, Action) {
+	willing = willing && now >= t.yieldedUntil
 	switch {
-	case !t.known || t.mustRead:
+	case !t.known:
+		return t.startedAt.Add(watchDelay(rank) - watchInterval), Read
+	case t.mustRead:
 		return t.readAt, Read
 	case t.ownsRow() && !willing:
 		return now, Release
@@ -157,7 +165,8 @@
 		return now.Add(maxWait), Wait
 	}
 	// A claim needs a recent read, or it would only meet a conflict.
-	if claimAt := t.claimableAt(rank); claimAt < t.readAt.Add(watchInterval) {
+	recent := t.readAt.Add(watchInterval)
+	if claimAt := t.claimableAt(rank); claimAt < recent && now < recent {
 		return claimAt, Claim
 	}
 	return t.readAt.Add(watchDelay(rank)), Read
@@ -186,7 +195,7 @@
 
 // Observed records a read that started and ended at the given times.
 func (t *Tracker) Observed(o Observation, startedAt, endedAt Instant) {
-	t.readAt = endedAt
+	t.readAt, t.retryPause = endedAt, 0
 	if t.known && o.StoreRevision < t.seen.StoreRevision {
 		return // older than what this host has written or read since
 	}
@@ -201,9 +210,19 @@
 
 // ReadFailed records a failed read.
 func (t *Tracker) ReadFailed(endedAt Instant) {
-	t.readAt, t.nextCallAt = endedAt, endedAt.Add(retryPause)
+	t.readAt = endedAt
+	t.pauseCalls(endedAt)
+}
+
+// pauseCalls delays the next call to the store after one that failed.
+func (t *Tracker) pauseCalls(endedAt Instant) {
+	t.retryPause = min(max(2*t.retryPause, minRetryPause), maxRetryPause)
+	t.nextCallAt = endedAt.Add(t.retryPause)
 }
 
+// StorePaused reports whether the next call to the store is delayed.
+func (t *Tracker) StorePaused(now Instant) bool { return now < t.nextCallAt }
+
 // Proposal returns the row that an action writes, and the revision that the row must have.
 func (t *Tracker) Proposal(a Action, state []byte) (row Row, expected uint64) {
 	row = t.seen.Row
@@ -228,7 +247,7 @@
 	switch result {
 	case Written:
 		t.seen = Observation{Row: row, Revision: revision, StoreRevision: max(revision, t.seen.StoreRevision)}
-		t.unchangedSince = endedAt
+		t.unchangedSince, t.retryPause = endedAt, 0
 		if !t.ownsRow() {
 			t.lose(endedAt)
 			return
@@ -238,9 +257,10 @@
 		// The row may still name this process, if an earlier write was executed late.
 		t.mustRead = true
 	case Unknown:
-		t.mustRead, t.nextCallAt = true, endedAt.Add(retryPause)
+		t.mustRead = true
+		t.pauseCalls(endedAt)
 	case NotWritten:
-		t.nextCallAt = endedAt.Add(retryPause)
+		t.pauseCalls(endedAt)
 	}
 }
 
@@ -262,6 +282,9 @@
 	}
 }
 
+// Yield makes this host leave the duty to others for a time, because it can not carry it out.
+func (t *Tracker) Yield(until Instant) { t.yieldedUntil = until }
+
 // Grant is a claim as the task of a duty uses it.
 type Grant struct {
 	Token uint64
--- a/internal/duty/tracker_test.go
+++ b/internal/duty/tracker_test.go
@@ -206,6 +206,23 @@
 	require.Equal(t, []string{"B"}, holders(both, seconds(12)))
 }
 
+// Guards against a restarted host that does not know that it has acted just before another one.
+func TestRestartedHostWaitsForATerm(t *testing.T) {
+	row := &fakeRow{}
+	a, b := newTestHost("A", 0, row, 0), newTestHost("B", 1, row, 0)
+	run(0, seconds(10), []*testHost{a, b}, func(Instant) {})
+	a.willing = false
+	run(seconds(10), seconds(11.5), []*testHost{a, b}, func(Instant) {})
+	b.willing = false // B has acted and stops too
+	restarted := newTestHost("A", 0, row, seconds(11.5))
+	restarted.process = "A-2"
+	run(seconds(11.5), seconds(11.5).Add(testTerm), []*testHost{restarted, b}, func(now Instant) {
+		require.Empty(t, holders([]*testHost{restarted}, now))
+	})
+	run(seconds(11.5).Add(testTerm), seconds(16), []*testHost{restarted, b}, func(Instant) {})
+	require.Equal(t, []string{"A"}, holders([]*testHost{restarted, b}, seconds(16)))
+}
+
 // Guards against a token that is used again after the platform has rejected it.
 func TestRejectedTokenIsNotUsedAgain(t *testing.T) {
 	row := &fakeRow{}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -111,7 +111,7 @@
 	if err == nil {
 		err = d.Save(ctx, token, data)
 	}
-	if err != nil && !errors.Is(err, duty.ErrNotHeld) {
+	if err != nil && !errors.Is(err, duty.ErrNotHeld) && !errors.Is(err, duty.ErrStorePaused) {
 		r.Log.Info("usage state not written", "next", state.Next, "error", err.Error())
 	}
 	return err == nil
