Let callers of the DynamoDB table set the time limit of a dial

Cause: TestTableImplementationsAgree failed once beside load. Change: the dial's limit is a setting, 300 ms by default as before; the test sets it like the call's.

--- a/internal/storage/conformance_test.go
+++ b/internal/storage/conformance_test.go
@@ -32,7 +32,7 @@
 
 func newDynamo(t *testing.T, url string, timeout time.Duration) *dynamo.Table {
 	table := dynamo.New(dynamo.Settings{
-		URL: url, TableName: "t", Region: "local", AccessKey: "a", SecretKey: "s", Timeout: timeout,
+		URL: url, TableName: "t", Region: "local", AccessKey: "a", SecretKey: "s", Timeout: timeout, DialTimeout: timeout,
 	})
 	t.Cleanup(table.Close)
 	return table
--- a/internal/storage/dynamo/dynamo.go
+++ b/internal/storage/dynamo/dynamo.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	dialTimeout    = 300 * time.Millisecond
-	defaultTimeout = time.Second
+	defaultDialTimeout = 300 * time.Millisecond
+	defaultTimeout     = time.Second
 )
 
 // Settings configures a Table.
@@ -34,6 +34,8 @@
 	SecretKey string
 	// Timeout limits each call of a method (default 1 s).
 	Timeout time.Duration
+	// DialTimeout limits the dial of a connection (default 300 ms).
+	DialTimeout time.Duration
 }
 
 // Table implements storage.Table. It is safe for concurrent use. Close
@@ -52,7 +54,10 @@
 	if settings.Timeout == 0 {
 		settings.Timeout = defaultTimeout
 	}
-	t := &Table{settings: settings, http: storage.NewHTTPClient(dialTimeout)}
+	if settings.DialTimeout == 0 {
+		settings.DialTimeout = defaultDialTimeout
+	}
+	t := &Table{settings: settings, http: storage.NewHTTPClient(settings.DialTimeout)}
 	t.client = dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(settings.URL),
 		Region:       settings.Region,
