Examine the engine of a silent stream before the stream continues elsewhere

A resumable stream without an event for six event gaps was cut from its engine and started at another one.

A watch examines the engine instead. Whether it can be reached is shown by a new connection, since open ones may have become silent; the first packet may be lost, so a second one is opened after 250 ms. The stream continues elsewhere if the engine cannot be reached within 700 ms, if it has no such run, or if it has stopped the run and handed over its memory (a migration, which also saves the prefill). Otherwise it waits and the engine is examined again. The stream is read on meanwhile. A migration now returns why it did not take place, and two of one stream exclude each other.

--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -132,7 +133,7 @@
 			time.Sleep(recheckInterval)
 			continue
 		}
-		if g.migrate(s, u, service, value) {
+		if err := g.migrate(s, u, service, value); err == nil || !isRetriable(err) {
 			handled[s] = true
 		} else {
 			time.Sleep(migrationRetryInterval)
@@ -150,13 +151,8 @@
 		if handled[s] || events == 0 {
 			continue
 		}
-		c := s.call
-		produced := events * service.Engine.TokensPerEvent
 		candidates = append(candidates, s)
-		generations = append(generations, migration.Generation{
-			PromptTokens: c.info.PromptTokens, ProducedTokens: produced,
-			ExpectedTokens: max(c.expectedOutputTokens(), produced),
-		})
+		generations = append(generations, s.generation(service))
 	}
 	next := migration.NextToMigrate(generations)
 	if next < 0 {
@@ -165,64 +161,92 @@
 	return candidates[next], generations[next].ValuePerToken()
 }
 
+// The reasons for which a migration does not take place, besides those of Engines.Copy.
+var (
+	errNoDestination   = errors.New("no engine has room")
+	errMigrating       = errors.New("another migration of the stream is in progress")
+	errNoGrant         = errors.New("no copy grant in time")
+	errDestinationGone = errors.New("the destination is gone")
+	errRunEnded        = errors.New("the run ended")
+	errFirstCopy       = errors.New("first copy failed")
+)
+
+// isRetriable reports whether a migration that failed should be tried again, for example because no
+// engine had room.
+func isRetriable(err error) bool {
+	if errors.Is(err, errFirstCopy) {
+		return errors.Is(err, ErrNoRoom)
+	}
+	return errors.Is(err, errMigrating) || errors.Is(err, errNoDestination) || errors.Is(err, errNoGrant) || errors.Is(err, errDestinationGone) || errors.Is(err, ErrRunNotStopped)
+}
+
 // migrate copies the memory of a running stream to another engine, stops the stream,
-// copies the memory that was added in the meantime and continues the stream there. It
-// returns false if it should be tried again, for example because no engine has room.
-func (g *Gateway) migrate(s *stream, source *catalog.Upstream, service *catalog.Service, value float64) bool {
+// copies the memory that was added in the meantime and continues the stream there. Without an
+// error the run was stopped and the stream continues.
+func (g *Gateway) migrate(s *stream, source *catalog.Upstream, service *catalog.Service, value float64) error {
+	if !s.migrating.TryLock() {
+		return errMigrating
+	}
+	defer s.migrating.Unlock()
 	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(s.call.ctx, migrationTimeout)
 	defer cancel()
+	destination, err := g.tryMigration(ctx, s, source, service, value)
+	if errors.Is(err, errNoDestination) {
+		if s.noRoomLogged { // logged once, since it is tried again many times a second
+			return err
+		}
+		s.noRoomLogged = true
+	}
+	outcome := "moved"
+	if err != nil {
+		outcome = err.Error()
+	}
+	g.logMigration(s, source, destination, startedAt, outcome)
+	return err
+}
+
+func (g *Gateway) tryMigration(ctx context.Context, s *stream, source *catalog.Upstream, service *catalog.Service, value float64) (*catalog.Upstream, error) {
 	destinations := g.destinations(s, source, service)
 	if len(destinations) == 0 {
-		if !s.noRoomLogged { // logged once, since it is tried again many times a second
-			s.noRoomLogged = true
-			g.logMigration(s, source, nil, startedAt, "no engine has room")
-		}
-		return false
+		return nil, errNoDestination
 	}
+	run := s.call.info.ID
 	grant, release, ok := g.CopyScheduler.Acquire(ctx, source.DataCentre, migration.CopyRequest{
-		Run: s.call.info.ID, Source: source.ID, Tokens: s.call.expectedMemoryTokens(), Value: value, Destinations: destinations,
+		Run: run, Source: source.ID, Tokens: s.call.expectedMemoryTokens(), Value: value, Destinations: destinations,
 	})
 	if !ok {
-		g.logMigration(s, source, nil, startedAt, "no copy grant in time")
-		return false
+		return nil, errNoGrant
 	}
 	defer release()
 	destination := g.Catalog().Upstreams[grant.Destination]
 	if destination == nil {
-		g.logMigration(s, source, nil, startedAt, "the destination is gone")
-		return false
+		return nil, errDestinationGone
 	}
 	grantedAt := time.Now()
 	load := balance.Load{Requests: 1, Tokens: s.call.expectedMemoryTokens()}
 	g.LoadTracker.AddLoad(destination.ID, load)
 	defer g.LoadTracker.RemoveLoad(destination.ID, load)
-	run := s.call.info.ID
 	if _, _, running := s.progress(); !running {
-		g.logMigration(s, source, destination, startedAt, "the run ended before its copy could start")
-		return true
+		return destination, fmt.Errorf("%w before its copy could start", errRunEnded)
 	}
 	firstCopy, err := g.Engines.Copy(ctx, source.Address, run, destination.Address, false)
 	if err != nil {
-		g.logMigration(s, source, destination, startedAt, "first copy failed: "+err.Error())
 		if errors.Is(err, ErrNoRoom) {
 			s.fullEngines = append(s.fullEngines, destination.ID)
-			return false
 		}
-		return true
+		return destination, fmt.Errorf("%w: %w", errFirstCopy, err)
 	}
 	firstCopyDone := time.Now()
 	m := s.beginMigration(source)
 	if m == nil {
-		g.logMigration(s, source, destination, startedAt, "the run ended during the copy")
 		g.releaseCopy(source, firstCopy.Handle)
-		return true
+		return destination, fmt.Errorf("%w during the copy", errRunEnded)
 	}
 	finalCopy, err := g.Engines.Copy(ctx, source.Address, run, destination.Address, true)
 	if errors.Is(err, ErrRunNotStopped) {
 		s.cancelMigration(m)
-		g.logMigration(s, source, destination, startedAt, "final copy failed: "+err.Error())
-		return false
+		return destination, fmt.Errorf("final copy failed: %w", err)
 	}
 	switch {
 	case err == nil:
@@ -231,13 +255,11 @@
 		m.destination, m.copy = source, g.Engines.CopyName(source.Address, finalCopy.Handle)
 	}
 	close(m.done)
-	reason := "moved"
+	g.Metrics.RecordMigration(err == nil, firstCopyDone.Sub(grantedAt), time.Since(firstCopyDone))
 	if err != nil {
-		reason = "final copy failed: " + err.Error()
+		return destination, fmt.Errorf("final copy failed: %w", err)
 	}
-	g.Metrics.RecordMigration(reason == "moved", firstCopyDone.Sub(grantedAt), time.Since(firstCopyDone))
-	g.logMigration(s, source, destination, startedAt, reason)
-	return true
+	return destination, nil
 }
 
 // releaseCopy frees an unused copy. The source drops a copy that is not freed after some
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -92,6 +93,10 @@
 // to run it.
 var ErrRunNotStopped = errors.New("the engine refused the copy and did not stop the run")
 
+// ErrNoSuchRun reports that the engine does not have the run. It wraps ErrRunNotStopped: the run
+// may have completed.
+var ErrNoSuchRun = fmt.Errorf("%w: it has no such run", ErrRunNotStopped)
+
 // CopyResult is the result of copying a run to another engine.
 type CopyResult struct {
 	// Handle identifies the copy at the source.
@@ -108,7 +113,7 @@
 // Engines controls running requests on model engines.
 type Engines interface {
 	// Copy copies the memory of a run to another engine. If final is set, the run is
-	// stopped before the copy.
+	// stopped before the copy. It returns ErrNoSuchRun if the engine does not have the run.
 	Copy(ctx context.Context, source, run, destination string, final bool) (CopyResult, error)
 	// Leaving asks an engine whether it is about to leave.
 	Leaving(ctx context.Context, engine string) (bool, error)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,13 +14,8 @@
 	"github.com/rattanscale/rattanscale/internal/hop"
 )
 
-const (
-	// callerWriteTimeout limits a write to a caller that does not read.
-	callerWriteTimeout = 10 * time.Second
-	// maxSilenceGaps is the number of event gaps of the route after which a silent
-	// resumable stream continues at another upstream.
-	maxSilenceGaps = 6
-)
+// callerWriteTimeout limits a write to a caller that does not read.
+const callerWriteTimeout = 10 * time.Second
 
 var (
 	errEventOrder = errors.New("an event of the stream is missing or comes twice")
@@ -42,8 +37,10 @@
 	lastID    int64
 	migration *streamMigration
 
-	// fullEngines holds the engines that refused a copy. noRoomLogged is set once the
-	// lack of a destination was logged. Both belong to the migrating goroutine.
+	// migrating is held during a migration. It protects fullEngines, which holds the engines
+	// that refused a copy, and noRoomLogged, which is set once the lack of a destination was
+	// logged.
+	migrating    sync.Mutex
 	fullEngines  []string
 	noRoomLogged bool
 }
@@ -95,6 +92,22 @@
 	close(m.done)
 }
 
+// continuesFromCopy reports whether the run was stopped for a migration and continues from a copy.
+func (s *stream) continuesFromCopy() bool {
+	s.mu.Lock()
+	m := s.migration
+	s.mu.Unlock()
+	if m == nil {
+		return false
+	}
+	select {
+	case <-m.done:
+		return !m.runNotStopped && m.destination != nil
+	default:
+		return false
+	}
+}
+
 // isMigrating reports whether the run is being stopped for a migration.
 func (s *stream) isMigrating() bool {
 	s.mu.Lock()
@@ -261,7 +274,8 @@
 func (c *call) relayEvents(s *stream, u *catalog.Upstream, response *hop.Response) (exchangeResult, error) {
 	events := newEventReader(response)
 	controller := http.NewResponseController(c.w)
-	c.limitSilence(response)
+	silence := c.watchSilence(s, u, response)
+	defer silence.stop()
 	for {
 		e, err := events.next()
 		if err == nil {
@@ -287,7 +301,7 @@
 		}
 		c.markPromptProcessed(u)
 		if e.hasData { // comments do not show that the run goes on
-			c.limitSilence(response)
+			silence.reset()
 		}
 		// The error is ignored because the request's context also ends when the caller has disconnected.
 		_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
@@ -310,18 +324,6 @@
 	}
 }
 
-// limitSilence sets the time by which the next event must arrive, if the stream may
-// continue at another upstream.
-func (c *call) limitSilence(response *hop.Response) {
-	if c.route.Resumable && c.route.MaxEventGap > 0 && c.attempts < c.route.MaxAttempts {
-		limit := c.route.LatencyTarget
-		if c.logEntry.events > 0 {
-			limit = maxSilenceGaps * c.route.MaxEventGap
-		}
-		response.SetReadDeadline(time.Now().Add(limit))
-	}
-}
-
 // completeStream records the end of a complete stream.
 func (c *call) completeStream(u *catalog.Upstream, response *hop.Response) (exchangeResult, error) {
 	if c.logEntry.events == 0 { // the headers are sent with the first event, so they are still missing
