Count the time of a removed upstream from its removal

An upstream whose entry disappeared without notice was kept as a last resort for 1.5 s from when the host learned of it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,9 @@
 type Snapshot struct {
 	Rows     map[string]Row
 	Revision uint64
+	// ChangedAfter is when the store last confirmed the rows of the previous snapshot: what has
+	// changed since did so after it. It is zero in the first snapshot.
+	ChangedAfter time.Time
 }
 
 // maxDeletedRows bounds the deleted rows that are kept for peers with an older revision.
@@ -62,6 +65,9 @@
 	contentRevision uint64
 	loaded          bool
 	confirmedAt     time.Time
+	// changedAfter is when the store last confirmed the rows of the last delivered snapshot, set
+	// while there are newer rows.
+	changedAfter time.Time
 	// deletedRows holds deleted rows, so that deltas for peers include the deletions.
 	deletedRows map[string]Row
 	// oldestDeltaRevision is the oldest revision from which a delta can be computed.
@@ -124,8 +130,7 @@
 	}
 	t.rows, t.revision, t.loaded = liveRows, revision, true
 	t.deletedRows, t.oldestDeltaRevision = map[string]Row{}, revision
-	t.advanceConfirmedLocked(confirmedAt)
-	t.publishAndUnlock(!unchanged)
+	t.publishAndUnlock(!unchanged, confirmedAt)
 }
 
 // Apply applies changes up to a revision. Changes older than the held rows are ignored.
@@ -155,23 +160,24 @@
 	if len(t.deletedRows) > maxDeletedRows { // peers with an older revision then get the whole table
 		t.deletedRows, t.oldestDeltaRevision = map[string]Row{}, revision
 	}
-	t.advanceConfirmedLocked(confirmedAt)
-	t.publishAndUnlock(changed)
+	t.publishAndUnlock(changed, confirmedAt)
 }
 
-func (t *Table) advanceConfirmedLocked(confirmedAt time.Time) {
-	if confirmedAt.After(t.confirmedAt) {
+// publishAndUnlock unlocks the table, which the caller has locked, after the store has confirmed its
+// rows, and reports a change.
+func (t *Table) publishAndUnlock(changed bool, confirmedAt time.Time) {
+	previous := t.confirmedAt
+	if confirmedAt.After(previous) {
 		t.confirmedAt = confirmedAt
 	}
-}
-
-// publishAndUnlock unlocks the table, which the caller has locked, and reports a change.
-func (t *Table) publishAndUnlock(changed bool) {
 	if !changed {
 		t.mu.Unlock()
 		return
 	}
-	snapshot := Snapshot{Revision: t.contentRevision, Rows: maps.Clone(t.rows)}
+	if t.changedAfter.IsZero() {
+		t.changedAfter = previous
+	}
+	snapshot := Snapshot{Revision: t.contentRevision, Rows: maps.Clone(t.rows), ChangedAfter: t.changedAfter}
 	t.mu.Unlock()
 	t.deliver(snapshot)
 }
@@ -186,6 +192,11 @@
 	}
 	t.publishedRevision = s.Revision
 	t.onChange(s)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.contentRevision == s.Revision {
+		t.changedAfter = time.Time{}
+	}
 }
 
 // Delta holds the changes of a table that one host sends to another.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -109,3 +109,36 @@
 	require.Equal(t, start, confirmationTime(start, held.Add(-time.Millisecond), 0), "the store did not hold the read")
 	require.Equal(t, start, confirmationTime(start, held.Add(time.Second), 1), "when the rows were read is not known")
 }
+
+// Guards against a change whose age counts from when a host learned of it.
+func TestChangeCountsFromTheLastConfirmation(t *testing.T) {
+	var snapshots []Snapshot
+	table, now := NewTable("t", func(s Snapshot) { snapshots = append(snapshots, s) }), time.Unix(1000, 0)
+	table.Replace([]Row{row("a", 5)}, 6, now)
+	require.Zero(t, snapshots[0].ChangedAfter)
+	table.Apply(nil, 7, now.Add(time.Second))
+	table.Confirm(6, now.Add(2*time.Second))
+	table.Apply([]Row{deletedRow("a", 8)}, 8, now.Add(4*time.Second))
+	require.Equal(t, now.Add(2*time.Second), snapshots[1].ChangedAfter)
+	table.Merge(Delta{Rows: []Row{row("b", 9)}, Revision: 9, Content: 9, Age: 1000}, now.Add(6*time.Second))
+	require.Equal(t, now.Add(4*time.Second), snapshots[2].ChangedAfter)
+	require.Len(t, snapshots, 3)
+}
+
+// Guards against a change that counts from a confirmation of rows which were never delivered.
+func TestUndeliveredChangeCountsFromTheLastDelivery(t *testing.T) {
+	var last Snapshot
+	table, now := NewTable("t", nil), time.Unix(1000, 0)
+	table.onChange = func(s Snapshot) {
+		if s.Revision == 8 { // another source applies a change before this one is delivered
+			table.mu.Lock()
+			table.rows["c"], table.contentRevision = row("c", 9), 9
+			table.mu.Unlock()
+		}
+		last = s
+	}
+	table.Replace([]Row{row("a", 5)}, 6, now)
+	table.Apply([]Row{deletedRow("a", 8)}, 8, now.Add(time.Second))
+	table.Apply([]Row{row("d", 10)}, 10, now.Add(2*time.Second))
+	require.Equal(t, now, last.ChangedAfter)
+}
