Rank the hosts of a duty over the data centres in turn

One host of each data centre now comes in turn. A report that a new holder repeats is counted as taken-over, not as late; a receiver that fails is logged once for each outage. Hosts read the row for the first time half a term after their start, when they know their rank.

--- a/internal/duty/tracker.go
+++ b/internal/duty/tracker.go
@@ -154,7 +154,8 @@
 	willing = willing && now >= t.yieldedUntil
 	switch {
 	case !t.known:
-		return t.startedAt.Add(watchDelay(rank) - watchInterval), Read
+		// By then the host knows its rank.
+		return t.startedAt.Add(t.term/2 + watchDelay(rank) - watchInterval), Read
 	case t.mustRead:
 		return t.readAt, Read
 	case t.ownsRow() && !willing:
--- a/internal/duty/tracker_test.go
+++ b/internal/duty/tracker_test.go
@@ -109,18 +109,28 @@
 	for i := range 66 {
 		hosts = append(hosts, newTestHost(string(rune('A'+i)), i, row, 0))
 	}
-	conflicts := 0
+	conflicts, reads := 0, 0
 	for now := Instant(0); now < seconds(10); now = now.Add(50 * time.Millisecond) {
-		for _, h := range hosts {
+		for i, h := range hosts {
+			h.rank = i
+			if now < seconds(1) { // the hosts do not know each other yet
+				h.rank = 0
+			}
 			before := row.revision
-			if h.step(now) == Claim && h.token == 0 && row.revision > before {
-				conflicts++
+			switch h.step(now) {
+			case Claim:
+				if h.token == 0 && row.revision > before {
+					conflicts++
+				}
+			case Read:
+				reads++
 			}
 		}
 		require.LessOrEqual(t, len(holders(hosts, now)), 1)
 	}
 	require.Equal(t, []string{"A"}, holders(hosts, seconds(10)))
 	require.LessOrEqual(t, conflicts, 1)
+	require.Less(t, reads, len(hosts), "all hosts read the row at once")
 }
 
 // Guards against a duty that stays with a holder that was killed.
--- a/internal/frontend/duties.go
+++ b/internal/frontend/duties.go
@@ -14,7 +14,6 @@
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/peer"
-	"github.com/rattanscale/rattanscale/internal/retry"
 	"github.com/rattanscale/rattanscale/internal/usage"
 )
 
@@ -106,7 +105,7 @@
 	}
 	d.usage = d.runner.Add(DutyUsage, func(ctx context.Context, held *duty.Duty) { d.reporter.Run(ctx, held) })
 	d.sender = &usage.Sender{
-		Table: d.counts, Clock: d.clock, Receivers: d.receivers, Include: d.sendsCountsOf, Holder: d.knownHolder, SetHolder: d.setHolder, Log: f.log, Oldest: d.reporter.Oldest,
+		Table: d.counts, Clock: d.clock, Receivers: d.receivers, Include: d.countsToSend, Holder: d.knownHolder, SetHolder: d.setHolder, Log: f.log, Oldest: d.reporter.Oldest,
 		Call: func(ctx context.Context, address string, m usage.Message) (reply usage.Reply, err error) {
 			err = f.peerClient.Call(ctx, address, methodUsage, m, &reply)
 			return reply, err
@@ -123,78 +122,60 @@
 	group.Wait()
 }
 
-// rank returns this host's place for a duty among the live hosts that are not draining. The order
-// is that of a hash, which mixes the hosts of the data centres and differs between duties.
+// rank returns this host's place for a duty among the live hosts that are not draining.
 func (d *duties) rank(name string) int {
-	own, rank := dutyHash(name, d.frontEnd.settings.Host.Name), 0
-	for _, m := range d.frontEnd.members.Live(time.Now()) {
-		if m.State != gossip.Draining && dutyHash(name, m.Name) < own {
-			rank++
-		}
-	}
-	return rank
+	self := d.frontEnd.members.Self()
+	own := duty.Host{Name: self.Name, DataCentre: self.DataCentre}
+	return slices.Index(duty.RankHosts(name, append(d.liveHosts(), own)), own)
 }
 
-func dutyHash(name, host string) uint64 { return retry.Hash(name + "\x00" + host) }
+// liveHosts returns the other live hosts that are not draining.
+func (d *duties) liveHosts() []duty.Host { return toHosts(d.frontEnd.members.Live(time.Now())) }
+
+func toHosts(members []gossip.Member) []duty.Host {
+	return lo.FilterMap(members, func(m gossip.Member, _ int) (duty.Host, bool) {
+		return duty.Host{Name: m.Name, DataCentre: m.DataCentre}, m.State != gossip.Draining
+	})
+}
 
 // receivers returns the hosts to which this host sends its counts: those first in rank and the
 // holder. The hosts of a divided site send to the first hosts of their cell, which pass them on.
 func (d *duties) receivers() []usage.Receiver {
 	f := d.frontEnd
-	now := time.Now()
-	live := lo.Filter(f.members.Live(now), func(m gossip.Member, _ int) bool { return m.State != gossip.Draining })
+	live := d.liveHosts()
 	if cells := f.members.Cells(); cells.Divided() && !d.passesCountsOn() {
-		live = lo.Filter(live, func(m gossip.Member, _ int) bool { return cells.InOwnCell(m.DataCentre, m.Name) })
-		return toReceivers(firstByHash(live))
+		live = toHosts(cells.OwnCellHosts())
 	}
-	chosen := firstByHash(live)
+	chosen := duty.RankHosts(DutyUsage, live)
+	chosen = chosen[:min(len(chosen), usageReceivers)]
 	holder, _ := d.knownHolder()
-	if m, found := lo.Find(live, func(m gossip.Member) bool { return m.Name == holder }); found && !lo.Contains(chosen, m) {
-		chosen = append(chosen, m)
+	byName := func(h duty.Host) bool { return h.Name == holder }
+	if h, isLive := lo.Find(live, byName); isLive && !lo.ContainsBy(chosen, byName) {
+		chosen = append(chosen, h)
 	}
-	return toReceivers(chosen)
-}
-
-func firstByHash(live []gossip.Member) []gossip.Member {
-	sorted := slices.SortedFunc(slices.Values(live), func(a, b gossip.Member) int {
-		if dutyHash(DutyUsage, a.Name) < dutyHash(DutyUsage, b.Name) {
-			return -1
-		}
-		return 1
-	})
-	return sorted[:min(len(sorted), usageReceivers)]
-}
-
-func toReceivers(members []gossip.Member) []usage.Receiver {
-	return lo.Map(members, func(m gossip.Member, _ int) usage.Receiver {
-		return usage.Receiver{Name: m.Name, Address: m.PeerAddress}
+	return lo.FilterMap(chosen, func(h duty.Host, _ int) (usage.Receiver, bool) {
+		address, known := f.members.PeerAddress(h.Name)
+		return usage.Receiver{Name: h.Name, Address: address}, known
 	})
 }
 
 // passesCountsOn reports whether this host is one of the first of its cell on a divided site.
 func (d *duties) passesCountsOn() bool {
-	f := d.frontEnd
-	cells := f.members.Cells()
+	members := d.frontEnd.members
+	cells, self := members.Cells(), members.Self()
 	if !cells.Divided() {
 		return false
 	}
-	own, before := dutyHash(DutyUsage, f.settings.Host.Name), 0
-	for _, m := range cells.OwnCellHosts() {
-		if m.State != gossip.Draining && dutyHash(DutyUsage, m.Name) < own {
-			before++
-		}
-	}
-	return before < usageReceivers
+	own := duty.Host{Name: self.Name, DataCentre: self.DataCentre}
+	return slices.Index(duty.RankHosts(DutyUsage, append(toHosts(cells.OwnCellHosts()), own)), own) < usageReceivers
 }
 
-// sendsCountsOf reports whether this host sends the counts of a host: its own, those of its cell
-// that it passes on, and those of hosts that can not send them any more.
-func (d *duties) sendsCountsOf(host string) bool {
+// countsToSend returns a function that reports whether this host sends the counts of a host: its
+// own, those of its cell that it passes on, and those of hosts that can not send them any more.
+func (d *duties) countsToSend() func(host string) bool {
 	f := d.frontEnd
-	if host == f.settings.Host.Name || d.passesCountsOn() {
-		return true
-	}
-	return !f.liveHosts(time.Now())(host)
+	all, live := d.passesCountsOn(), f.liveHosts(time.Now())
+	return func(host string) bool { return all || host == f.settings.Host.Name || !live(host) }
 }
 
 // knownHolder returns the holder of the duty to report that has the highest token known here.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -70,6 +70,8 @@
 	claimedAt time.Time
 	// accepted is the last window whose report was accepted.
 	accepted int64
+	// fixed is the last window whose report this host has fixed.
+	fixed int64
 	// skipped is the last window that was logged as skipped.
 	skipped    int64
 	nextCallAt time.Time
@@ -128,11 +130,14 @@
 	r.accepted, r.callPause = report.Window, 0
 	late := r.Clock.Now().Sub(r.Windows.End(report.Window)) - r.Delay
 	outcome := "on-time"
-	if late > 0 {
+	switch {
+	case report.Window != r.fixed: // the platform may have had it from an earlier holder
+		outcome = "taken-over"
+	case late > 0:
 		outcome = "late"
 	}
 	r.count(outcome)
-	r.Log.Info("usage reported", "window", report.Window, "accounts", len(report.Requests), "token", token, "late-ms", max(late, 0).Milliseconds())
+	r.Log.Info("usage reported", "window", report.Window, "accounts", len(report.Requests), "token", token, "outcome", outcome, "late-ms", max(late, 0).Milliseconds())
 	return true
 }
 
@@ -156,7 +161,11 @@
 		}
 		state.Pending = &Report{Window: state.Next, Requests: requests}
 		state.Next++
-		return r.save(ctx, d, token, state)
+		if !r.save(ctx, d, token, state) {
+			return false
+		}
+		r.fixed = state.Pending.Window
+		return true
 	}
 }
 
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -48,8 +48,8 @@
 	Clock *Clock
 	// Receivers returns the hosts to which counts are sent now.
 	Receivers func() []Receiver
-	// Include reports whether this host sends the counts of another one.
-	Include func(host string) bool
+	// Include returns a function that reports whether this host sends the counts of a host now.
+	Include func() func(host string) bool
 	// Holder returns the known holder of the duty to report; SetHolder learns it.
 	Holder    func() (host string, token uint64)
 	SetHolder func(host string, token uint64)
@@ -65,6 +65,8 @@
 type receiverState struct {
 	process      string
 	acknowledged map[Key]uint64
+	// failing is set if the last call failed.
+	failing bool
 }
 
 // Run sends until ctx ends.
@@ -94,7 +96,7 @@
 	defer s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	current := make(map[string]*receiverState)
+	current, include := make(map[string]*receiverState), s.Include()
 	var group sync.WaitGroup
 	for _, r := range s.Receivers() {
 		state := s.receivers[r.Name]
@@ -103,17 +105,19 @@
 		}
 		current[r.Name] = state
 		group.Go(func() {
-			if err := s.sendTo(ctx, r, state); err != nil {
+			err := s.sendTo(ctx, r, state, include)
+			if err != nil && !state.failing { // one line for each outage of a receiver
 				s.Log.Info("usage counts not sent", "peer", r.Name, "error", err.Error())
 			}
+			state.failing = err != nil
 		})
 	}
 	group.Wait()
 	s.receivers = current
 }
 
-func (s *Sender) sendTo(ctx context.Context, r Receiver, state *receiverState) error {
-	counts, versions := s.Table.Unacknowledged(state.acknowledged, s.Include)
+func (s *Sender) sendTo(ctx context.Context, r Receiver, state *receiverState, include func(host string) bool) error {
+	counts, versions := s.Table.Unacknowledged(state.acknowledged, include)
 	if len(counts) == 0 {
 		return nil
 	}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -53,7 +53,7 @@
 func TestRestartedReceiverGetsAllCountsAgain(t *testing.T) {
 	table, receiver, process := NewTable("a", "a1"), NewTable("b", "b1"), "b1"
 	s := &Sender{
-		Table: table, Clock: NewClock(time.Now, duty.Now), Include: everyHost, Log: logr.Discard(),
+		Table: table, Clock: NewClock(time.Now, duty.Now), Include: func() func(string) bool { return everyHost }, Log: logr.Discard(),
 		Receivers: func() []Receiver { return []Receiver{{"b", "address"}} },
 		Holder:    func() (string, uint64) { return "", 0 }, SetHolder: func(string, uint64) {},
 		Call: func(_ context.Context, _ string, m Message) (Reply, error) {
