--- a/internal/frontend/demand.go
+++ b/internal/frontend/demand.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/autoscale"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/duty"
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/orders"
 	"github.com/rattanscale/rattanscale/internal/peer"
@@ -163,12 +163,14 @@
 	defer cancel()
 	var group sync.WaitGroup
 	var mu sync.Mutex
-	heads := make([]string, len(others))
-	for i, hosts := range others {
-		head := slices.MinFunc(hosts, func(a, b gossip.Member) int {
-			return lo.Ternary(dutyHash(DutyAutoscale, a.Name) < dutyHash(DutyAutoscale, b.Name), -1, 1)
-		})
-		heads[i] = head.Name
+	heads := make([]string, 0, len(others))
+	for _, hosts := range others {
+		first := duty.RankHosts(DutyAutoscale, toHosts(hosts))
+		if len(first) == 0 {
+			continue // the hosts of this cell are stopping; their loads go to others
+		}
+		head, _ := lo.Find(hosts, func(m gossip.Member) bool { return m.Name == first[0].Name })
+		heads = append(heads, head.Name)
 		group.Go(func() {
 			var reply demandReply
 			if err := f.peerClient.Call(ctx, head.PeerAddress, methodDemand, struct{}{}, &reply); err != nil {
