Stop the run of a broken stream before the stream continues elsewhere

A resumable stream whose connection broke was started at another engine at once, although engines may go on with a request whose connection is closed.

Unless the engine cannot be reached, it is told to stop the run by a final copy. The stream then continues from the memory of the run; if the engine has no such run, it starts anew elsewhere as before. If the engine neither stops the run nor says that it has none in three calls, the stream ends. Engines that do not copy runs offer no call that stops one, so nothing changes for them. A run that ended with a failure, and one of a silent stream that was examined, need no call.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -32,6 +32,9 @@
 	// mayHaveRun means that the upstream may have run the request but there is no usable
 	// response.
 	mayHaveRun
+	// runOver means that the upstream has run the request and works on it no more, or cannot be
+	// reached, and that there is no usable response.
+	runOver
 )
 
 var (
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -48,8 +47,9 @@
 	response *hop.Response
 
 	mu sync.Mutex
-	// ended is set once the stream is not read any more.
-	ended bool
+	// ended is set once the stream is not read any more, and interrupted if check has ended its
+	// reading.
+	ended, interrupted bool
 	// events counts the resets, so that a check notices an event that arrived meanwhile.
 	events int
 	limit  time.Duration
@@ -99,6 +99,14 @@
 	return w.events, !w.ended
 }
 
+// wasInterrupted reports whether check has ended the reading, because the run has ended or its
+// engine cannot be reached.
+func (w *silenceWatch) wasInterrupted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.interrupted
+}
+
 // check examines the engine and ends the reading of the stream if it may continue elsewhere.
 // Otherwise it is called again after the limit.
 func (w *silenceWatch) check() {
@@ -116,28 +124,20 @@
 	g.Log.Info("stream is silent", "request", w.call.info.ID, "upstream", w.upstream.ID,
 		"reachable", reachErr == nil, "continues-elsewhere", continues)
 	if continues && run == runMoved {
-		sleepUntil(ctx, time.Now().Add(stoppedReadGrace))
+		sleep(ctx, stoppedReadGrace)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.ended || ctx.Err() != nil:
 	case continues && (run == runMoved || w.events == before):
+		w.interrupted = true
 		w.response.SetReadDeadline(time.Now())
 	default:
 		w.timer.Reset(w.limit)
 	}
 }
 
-func sleepUntil(ctx context.Context, end time.Time) {
-	timer := time.NewTimer(time.Until(end))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // moveSilentRun stops the run of a silent stream by moving it to another engine, if its engine
 // can do that and another one has room. A run without events may be waiting at its engine, which
 // then knows no run to copy.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/hop"
@@ -160,7 +162,7 @@
 	}
 	err := c.tryUpstreams(func(u *catalog.Upstream) (bool, error) {
 		err := c.relayWithMigrations(s, u)
-		return err != nil && c.mayResend(), err
+		return err != nil && !errors.Is(err, errRunMayGoOn) && c.mayResend(), err
 	})
 	switch {
 	case err == nil:
@@ -205,6 +207,14 @@
 		case result == notRun && migrationSource != nil && migrationSource != u:
 			// The destination refused the copy, but the source keeps the memory for a while.
 			u, migrationSource = migrationSource, nil
+		case result == mayHaveRun && c.mayResend():
+			m, stopErr := c.g.stopLostRun(c.ctx, s, u)
+			if m == nil {
+				return errors.Join(err, stopErr)
+			}
+			d, u = c.continuation(s, m), m.destination
+			migrationSource = m.source
+			c.logEntry.migrations++
 		default:
 			return err
 		}
@@ -222,11 +232,16 @@
 	if m.destination == nil {
 		return Dispatch{}, nil
 	}
+	return c.continuation(s, m), m.destination
+}
+
+// continuation returns how a stream continues from a copy.
+func (c *call) continuation(s *stream, m *streamMigration) Dispatch {
 	d := Dispatch{CopyName: m.copy}
 	if s.lastID >= 0 {
 		d.ResumeAfter = strconv.FormatInt(s.lastID, 10)
 	}
-	return d, m.destination
+	return d
 }
 
 // relayAt sends the request to an upstream and relays its events until the end of the
@@ -264,7 +279,7 @@
 	c.run.recordEnd(true, time.Now())
 	c.g.LoadTracker.RecordFailure(u.ID, time.Now())
 	if c.mayRunAgain() || c.logEntry.events > 0 {
-		return mayHaveRun, errors.New("upstream failed with status " + strconv.Itoa(response.Status))
+		return runOver, errors.New("upstream failed with status " + strconv.Itoa(response.Status))
 	}
 	c.writeResponse(&bufferedResponse{response.Status, response.Header, body})
 	return responseReceived, nil
@@ -288,7 +303,8 @@
 			return c.completeStream(u, response)
 		}
 		if err != nil {
-			return c.classifyBrokenStream(s, u, err)
+			result := lo.Ternary(silence.wasInterrupted(), runOver, mayHaveRun)
+			return result, c.recordBrokenStream(s, u, err)
 		}
 		if c.logEntry.events == 0 {
 			copyHeader(c.w.Header(), response.Header)
@@ -338,17 +354,17 @@
 	return responseReceived, nil
 }
 
-// classifyBrokenStream handles a stream that ended early. The loss is recorded unless
-// the caller's time is over or the run was stopped for a migration.
-func (c *call) classifyBrokenStream(s *stream, u *catalog.Upstream, err error) (exchangeResult, error) {
+// recordBrokenStream records a stream that ended early and returns the reason. The loss is recorded
+// unless the caller's time is over or the run was stopped for a migration.
+func (c *call) recordBrokenStream(s *stream, u *catalog.Upstream, err error) error {
 	if c.ctx.Err() != nil {
 		c.run.recordAbandoned(time.Now())
-		return mayHaveRun, context.Cause(c.ctx)
+		return context.Cause(c.ctx)
 	}
 	if !s.isMigrating() {
 		c.recordLostRun(u, err)
 	}
-	return mayHaveRun, err
+	return err
 }
 
 // acceptEvent checks the order of events. It returns errRepeatedEvent for an event that
