Continue a stream whose final copy was not answered from its first copy

A stream without a length that ended while the answer to its final copy was lost was cut, although it may have been complete: its end looks like that of a stopped run.

The call is made once more. If it is then not answered with a handle, nothing tells whether the first one stopped the run, but once the stream has ended the run has too. The stream continues at the destination from the first copy, which yields what is missing, or nothing. A final copy that was not sent leaves the run as it is.

--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -43,7 +43,6 @@
 		copied, err := g.Engines.Copy(callCtx, source.Address, s.call.info.ID, destination.Address, true)
 		cancel()
 		m := &streamMigration{source: source, copy: g.Engines.CopyName(source.Address, copied.Handle)}
-		var failed *hop.Error
 		switch {
 		case err == nil:
 			m.destination = destination
@@ -51,7 +50,7 @@
 		case copied.Handle != "": // stopped but not copied: the source still holds the memory
 			m.destination = source
 			return m, nil
-		case errors.Is(err, ErrNoSuchRun), errors.As(err, &failed) && failed.Progress == hop.NotSent:
+		case errors.Is(err, ErrNoSuchRun), isNotSent(err):
 			return nil, nil
 		}
 		g.Log.Info("run of a broken stream was not stopped", "request", s.call.info.ID, "upstream", source.ID, "error", err.Error())
@@ -62,6 +61,12 @@
 	return nil, errRunMayGoOn
 }
 
+// isNotSent reports whether no byte of the request was sent.
+func isNotSent(err error) bool {
+	var failed *hop.Error
+	return errors.As(err, &failed) && failed.Progress == hop.NotSent
+}
+
 // anyDestination returns the engine to which a run is copied when it must be stopped, preferably one
 // with room.
 func (g *Gateway) anyDestination(s *stream, source *catalog.Upstream, service *catalog.Service) *catalog.Upstream {
--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -12,6 +12,7 @@
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/guard"
+	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/migration"
 )
 
@@ -243,8 +244,8 @@
 		g.releaseCopy(source, firstCopy.Handle)
 		return destination, fmt.Errorf("%w during the copy", errRunEnded)
 	}
-	finalCopy, err := g.Engines.Copy(ctx, source.Address, run, destination.Address, true)
-	if errors.Is(err, ErrRunNotStopped) {
+	finalCopy, certain, err := g.finalCopy(s, source, destination)
+	if certain && (errors.Is(err, ErrRunNotStopped) || isNotSent(err)) {
 		s.cancelMigration(m)
 		return destination, fmt.Errorf("final copy failed: %w", err)
 	}
@@ -253,6 +254,10 @@
 		m.destination, m.copy = destination, g.Engines.CopyName(source.Address, finalCopy.Handle)
 	case finalCopy.Handle != "": // stopped but not copied: the source still holds the memory
 		m.destination, m.copy = source, g.Engines.CopyName(source.Address, finalCopy.Handle)
+	case !certain:
+		// If the stream ends, the run was stopped or is complete; without framing that looks the
+		// same. In both cases the first copy yields the events that are missing.
+		m.destination, m.copy = destination, g.Engines.CopyName(source.Address, firstCopy.Handle)
 	}
 	close(m.done)
 	g.Metrics.RecordMigration(err == nil, firstCopyDone.Sub(grantedAt), time.Since(firstCopyDone))
@@ -262,6 +267,23 @@
 	return destination, nil
 }
 
+// finalCopy stops a run with its final copy. certain is false if an answer was lost, so that the run
+// may have been stopped whatever the error is. The call is then made once more.
+func (g *Gateway) finalCopy(s *stream, source, destination *catalog.Upstream) (copied CopyResult, certain bool, err error) {
+	call := func() error {
+		ctx, cancel := context.WithTimeout(s.call.ctx, stopCallTimeout)
+		defer cancel()
+		copied, err = g.Engines.Copy(ctx, source.Address, s.call.info.ID, destination.Address, true)
+		return err
+	}
+	var failed *hop.Error
+	if !errors.As(call(), &failed) || failed.Progress == hop.NotSent {
+		return copied, true, err
+	}
+	_ = call()
+	return copied, false, err
+}
+
 // releaseCopy frees an unused copy. The source drops a copy that is not freed after some
 // time.
 func (g *Gateway) releaseCopy(source *catalog.Upstream, handle string) {
