Pass on all events on routes whose streams are not resumed

A caller's Last-Event-Id set the last event of the stream on every route, so that events up to it were left out as repeated if the engine did not heed the header. Only resumable routes heed it now.

TestLastEventOfTheCallerIsIgnoredWhereStreamsAreNotResumed failed before and passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -157,7 +157,8 @@
 func (c *call) serveStream() {
 	c.g.retryLimiter.RecordRequest(c.service.Name, c.startedAt)
 	s := &stream{call: c, lastID: -1}
-	if id, err := strconv.ParseInt(c.info.ResumeAfter, 10, 64); err == nil {
+	// On other routes the engine need not heed it, and all that it sends belongs to the answer.
+	if id, err := strconv.ParseInt(c.info.ResumeAfter, 10, 64); err == nil && c.route.Resumable {
 		s.lastID = id
 	}
 	err := c.tryUpstreams(func(u *catalog.Upstream) (bool, error) {
