Keep a back-off of an upstream for its whole time

A back-off was cut to a minute, so that an engine that had asked for more got requests within the time that it stated (BUDGET). Back-offs of earlier incarnations are deleted, since they may take long to end.

--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// maxBackOff bounds a back-off. A sound engine is used again after it, whatever it said.
-	maxBackOff = time.Minute
 	// maxBackOffs bounds the table; further back-offs are ignored.
 	maxBackOffs = 4096
 	// invalidLogInterval is the time between two log lines on invalid values of an upstream.
@@ -46,10 +44,10 @@
 func (b *backOffs) add(u *catalog.Upstream, d time.Duration, now time.Time) (isNew bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key, end := incarnationOf(u), now.Add(min(d, maxBackOff))
+	key, end := incarnationOf(u), now.Add(d)
 	held, known := b.until[key]
 	if !known && len(b.until) >= maxBackOffs {
-		b.evictLocked(now)
+		b.evictLocked(now, func(incarnation) bool { return true })
 		if len(b.until) >= maxBackOffs {
 			return false
 		}
@@ -86,15 +84,17 @@
 	return end, known && now.Before(end)
 }
 
-func (b *backOffs) evict(now time.Time) {
+// evict deletes the back-offs that are over, and those of which isCurrent reports that the upstream
+// has started again.
+func (b *backOffs) evict(now time.Time, isCurrent func(incarnation) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.evictLocked(now)
+	b.evictLocked(now, isCurrent)
 }
 
-func (b *backOffs) evictLocked(now time.Time) {
+func (b *backOffs) evictLocked(now time.Time, isCurrent func(incarnation) bool) {
 	for key, end := range b.until {
-		if !now.Before(end) {
+		if !now.Before(end) || !isCurrent(key) {
 			delete(b.until, key)
 		}
 	}
@@ -106,8 +106,15 @@
 	}
 }
 
-// EvictBackOffs deletes the back-offs that are over.
-func (g *Gateway) EvictBackOffs(now time.Time) { g.backOffs.evict(now) }
+// EvictBackOffs deletes the back-offs that are over and those of earlier incarnations. One whose
+// upstream has no entry is kept: the entry may come back.
+func (g *Gateway) EvictBackOffs(now time.Time) {
+	upstreams := g.publishedCatalog.Load().Upstreams
+	g.backOffs.evict(now, func(key incarnation) bool {
+		u := upstreams[key.upstream]
+		return u == nil || u.Incarnation == key.start
+	})
+}
 
 // mayReceive reports whether an upstream may receive new work of this host.
 func (g *Gateway) mayReceive(cat *catalog.Catalog, u *catalog.Upstream, now time.Time) bool {
@@ -127,7 +134,7 @@
 		g.Log.Info("back-off of an upstream ignored: the value is invalid", "upstream", u.ID, "value", info.InvalidBackOff)
 	}
 	if info.BackOff > 0 && g.backOffs.add(u, info.BackOff, now) {
-		g.Log.Info("upstream wants no requests for a time", "upstream", u.ID, "for", min(info.BackOff, maxBackOff))
+		g.Log.Info("upstream wants no requests for a time", "upstream", u.ID, "for", info.BackOff)
 		g.Metrics.RecordStatement("back-off")
 	}
 	g.recordLimit(u, info, sentAt, now)
