Keep hosts that are named by digests live for as long as digests take

Cause: while a site shrinks to 96 hosts or grows above, hosts disagree for some seconds on whether it is divided. A host that no longer divides it counts others as failed after 2.5 s without a sign; those that still divide it send it a digest a second. With one lost digest, or two that come early and late in their seconds, live hosts were taken off the list.

Change: the time-out of hosts of other cells also holds for hosts that a digest named within that time, whatever this host believes of the site.

Measured: TestDigestsKeepHostsLiveOnAnUndividedSite, before 0 of 30 hosts live after one lost digest, now 30.

--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -145,15 +145,23 @@
 	loadsSentAt         time.Time
 	incarnationLearntAt time.Time
 	inOtherCell         bool
+	// inDigestAt is when the host was last named by a digest.
+	inDigestAt time.Time
 }
 
 func (e *entry) live(now time.Time) bool {
-	if e.inOtherCell {
+	// While a site grows or shrinks, hosts disagree for some seconds on whether it is divided.
+	// A host that is named by digests is heard of once a second, whatever this host believes.
+	if e.inOtherCell || now.Sub(e.inDigestAt) <= remoteFailureTimeout {
 		return now.Sub(e.lastSeen) <= remoteFailureTimeout
 	}
 	return now.Sub(e.lastSeen) <= FailureTimeout
 }
 
+// isDigest reports whether the message is the digest of the sender's cell. Other regular
+// messages introduce fewer members.
+func (m *Message) isDigest() bool { return !m.Reply && len(m.Others) > maxMembersPerMessage }
+
 // Table is the membership table of a host. It is safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
@@ -262,6 +270,13 @@
 	for _, o := range m.Others {
 		t.mergeLocked(o, now, false)
 	}
+	if m.isDigest() {
+		for _, o := range append([]Member{m.Self}, m.Others...) {
+			if e := t.others[o.Name]; e != nil {
+				e.inDigestAt = now
+			}
+		}
+	}
 	return changed
 }
 
--- a/internal/gossip/table_test.go
+++ b/internal/gossip/table_test.go
@@ -133,3 +133,31 @@
 	require.Contains(t, names(table.Live(now.Add(FailureTimeout+FailureTimeout/2))), "b")
 	require.NotContains(t, names(table.Live(now.Add(2*FailureTimeout))), "b")
 }
+
+// Guards against live hosts that count as failed while a site grows or shrinks: this host does
+// not divide it and expects datagrams of all, others divide it and send digests only.
+func TestDigestsKeepHostsLiveOnAnUndividedSite(t *testing.T) {
+	table, now := NewTable(member("a", 1, 0, Ready)), time.Unix(1000, 0)
+	digest := func(beat uint64, at time.Time) {
+		m := Message{Self: member("h00", 1, beat, Ready), Content: NoLoads}
+		for i := 1; i < 30; i++ {
+			o := member(fmt.Sprintf("h%02d", i), 1, beat, Ready)
+			o.Age = 400
+			m.Others = append(m.Others, o)
+		}
+		table.Merge(m, at)
+	}
+	digest(5, now)
+	table.Refresh(now)
+	require.False(t, table.Cells().Divided())
+	// The next digest is lost; the one after it comes from a host that sends later in the second.
+	at := now.Add(2*digestInterval + 900*time.Millisecond)
+	require.Equal(t, 30, table.CountLive(at))
+	digest(9, at)
+	require.Equal(t, 30, table.CountLive(at))
+	// Without further digests, and with datagrams of its own, a host counts as one of the cell.
+	at = at.Add(remoteFailureTimeout + time.Millisecond)
+	table.Merge(Message{Self: member("h07", 1, 20, Ready)}, at)
+	require.Equal(t, []string{"h07"}, names(table.Live(at)))
+	require.Zero(t, table.CountLive(at.Add(FailureTimeout+time.Millisecond)))
+}
