Ask cells for an overdue digest before their hosts count as failed

Cause: a host receives the digest of each other cell once a second, each time from another sender. Senders are at any time of their second, so two digests may lie almost 2 s apart, and the ages in them are up to 0.8 s.

Change: a cell whose last digest is 2.2 s old is asked for one, each 0.4 s another of its live hosts, until one answers. The request and the answer are those that hosts use for missing addresses.

--- a/internal/gossip/cells.go
+++ b/internal/gossip/cells.go
@@ -19,6 +19,10 @@
 	remoteFailureTimeout = 4 * time.Second
 	// digestInterval is the interval at which each host receives the digest of each other cell.
 	digestInterval = time.Second
+	// digestOverdueTime is the time since the last digest of a cell after which its hosts are
+	// asked for one. Digests of different senders are up to two intervals apart; two lost ones
+	// in a row would reach remoteFailureTimeout.
+	digestOverdueTime = 2200 * time.Millisecond
 	// introductionPeriod is how long the digests include the addresses of a new host. It spans
 	// four digests, since datagrams may be lost.
 	introductionPeriod = 4 * time.Second
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -158,9 +158,11 @@
 	return now.Sub(e.lastSeen) <= FailureTimeout
 }
 
-// isDigest reports whether the message is the digest of the sender's cell. Other regular
-// messages introduce fewer members.
-func (m *Message) isDigest() bool { return !m.Reply && len(m.Others) > maxMembersPerMessage }
+// isDigest reports whether the message is the digest of the sender's cell. Other messages without
+// loads introduce fewer members.
+func (m *Message) isDigest() bool {
+	return m.Content == NoLoads && len(m.Others) > maxMembersPerMessage
+}
 
 // Table is the membership table of a host. It is safe for concurrent use.
 type Table struct {
@@ -457,6 +459,35 @@
 	return e != nil && !e.inOtherCell
 }
 
+// SilentCellHosts returns a live host of each other cell whose digest is overdue.
+func (t *Table) SilentCellHosts(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cells := t.Cells()
+	var out []Member
+	for c, hosts := range cells.hostsByCell {
+		if c == cells.ownCell {
+			continue
+		}
+		var live []Member
+		overdue := true
+		for _, m := range hosts {
+			e := t.others[m.Name]
+			if e == nil {
+				continue
+			}
+			overdue = overdue && now.Sub(e.inDigestAt) > digestOverdueTime
+			if e.live(now) {
+				live = append(live, e.member)
+			}
+		}
+		if overdue && len(live) > 0 {
+			out = append(out, live[t.random.IntN(len(live))])
+		}
+	}
+	return out
+}
+
 // isLive reports whether another host is known and live.
 func (t *Table) isLive(name string, now time.Time) bool {
 	t.mu.Lock()
--- a/internal/gossip/table_test.go
+++ b/internal/gossip/table_test.go
@@ -161,3 +161,39 @@
 	require.Equal(t, []string{"h07"}, names(table.Live(at)))
 	require.Zero(t, table.CountLive(at.Add(FailureTimeout+time.Millisecond)))
 }
+
+// Guards against hosts of another cell that are taken off the list because some of its digests
+// in a row were lost: the cell is asked for one in time, and again until it answers.
+func TestSilentCellsAreAsked(t *testing.T) {
+	hosts, now := makeHosts(200, 2), time.Unix(1000, 0)
+	table := NewTable(hosts[0])
+	receiveDigest := func(of cell, at time.Time) {
+		m := Message{Content: NoLoads}
+		for _, h := range hosts[1:] {
+			if cellsSeenBy(hosts, 0).cellOf(h.DataCentre, h.Name) == of {
+				h.Heartbeat = uint64(at.UnixMilli())
+				m.Others = append(m.Others, h)
+			}
+		}
+		m.Self, m.Others = m.Others[0], m.Others[1:]
+		table.Merge(m, at)
+	}
+	all := cellsSeenBy(hosts, 0).hostsByCell
+	for c := range all {
+		receiveDigest(c, now)
+	}
+	table.Refresh(now)
+	require.Empty(t, table.SilentCellHosts(now.Add(2*digestInterval)), "of different senders")
+	silent := cell{hosts[1].DataCentre, 1}
+	for c := range all {
+		if c != silent {
+			receiveDigest(c, now.Add(digestInterval))
+		}
+	}
+	for asked := digestOverdueTime + time.Millisecond; asked < remoteFailureTimeout-digestInterval; asked += roundsPerCellSend * RoundInterval {
+		ask := table.SilentCellHosts(now.Add(asked))
+		require.Len(t, ask, 1)
+		require.Equal(t, silent, table.Cells().cellOf(ask[0].DataCentre, ask[0].Name))
+	}
+	require.Empty(t, table.SilentCellHosts(now.Add(time.Minute)), "all have failed")
+}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -134,6 +134,9 @@
 	if cells.Divided() && t.roundCount%int64(digestInterval/RoundInterval) == 0 {
 		t.sendDigest(cells)
 	}
+	if cells.Divided() && t.roundCount%roundsPerCellSend == 0 {
+		t.askSilentCells()
+	}
 	t.sendToContacts()
 	if t.sendToAllRequested.Swap(false) && cells.Divided() {
 		now := time.Now()
@@ -141,6 +144,14 @@
 	}
 }
 
+// askSilentCells asks hosts of other cells for the digest of their cell if it is overdue.
+func (t *Transport) askSilentCells() {
+	now := time.Now()
+	if hosts := t.Table.SilentCellHosts(now); len(hosts) > 0 {
+		t.sendToHosts(t.composeAndMarshal(now, false, Message{Reply: true, Content: NoLoads, WantsAddresses: true}), hosts)
+	}
+}
+
 // sendToContacts sends the first datagram of a full message, which has the addresses of this host,
 // to hosts that are not known yet.
 func (t *Transport) sendToContacts() {
