Send the size of the table of hosts only while it is news

Change: it is sent for 10 s after the number has changed, and in replies, which starting hosts get, as two numbers without names.

--- a/internal/frontend/discovery.go
+++ b/internal/frontend/discovery.go
@@ -14,7 +14,7 @@
 
 // sectionStoredHosts is the section of full messages that holds what the sender knows of the
 // size of the table of hosts.
-const sectionStoredHosts = "stored-hosts"
+const sectionStoredHosts = "hosts"
 
 // runDiscovery finds other hosts through the store until ctx ends.
 func (f *FrontEnd) runDiscovery(ctx context.Context) {
@@ -34,7 +34,7 @@
 			}))
 		},
 		OnRead: func(hosts int, revision uint64) {
-			f.members.MergeStoredHosts(gossip.StoredHosts{Count: hosts, Revision: revision})
+			f.members.MergeStoredHosts(gossip.StoredHosts{Count: hosts, Revision: revision}, time.Now())
 		},
 		Log: f.log,
 	}
@@ -55,13 +55,14 @@
 	return discovery.Host{Name: m.Name, DataCentre: m.DataCentre, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress}
 }
 
-// storedHostsSection returns the section with the size of the table of hosts, if it is known.
-func (f *FrontEnd) storedHostsSection() []gossip.Section {
+// storedHostsSection returns the section with the size of the table of hosts, if the receivers may
+// not know it: they have just started and get a reply, or it has changed.
+func (f *FrontEnd) storedHostsSection(reply bool, now time.Time) []gossip.Section {
 	s, known := f.members.StoredHosts()
-	if !known {
+	if !known || !reply && !f.members.StoredHostsChanged(now) {
 		return nil
 	}
-	data, err := msgpack.Marshal(&s)
+	data, err := msgpack.Marshal([]uint64{uint64(s.Count), s.Revision})
 	if err != nil {
 		f.log.Error(err, "size of the table of hosts could not be encoded")
 		return nil
@@ -70,17 +71,17 @@
 }
 
 // mergeStoredHosts takes over what another host knows of the size of the table of hosts.
-func (f *FrontEnd) mergeStoredHosts(sections []gossip.Section) {
+func (f *FrontEnd) mergeStoredHosts(sections []gossip.Section, now time.Time) {
 	for _, section := range sections {
 		if section.Name != sectionStoredHosts {
 			continue
 		}
-		var s gossip.StoredHosts
-		if err := msgpack.Unmarshal(section.Data, &s); err != nil {
+		var values []uint64
+		if err := msgpack.Unmarshal(section.Data, &values); err != nil || len(values) < 2 {
 			f.log.Error(err, "size of the table of hosts could not be read")
 			continue
 		}
-		f.members.MergeStoredHosts(s)
+		f.members.MergeStoredHosts(gossip.StoredHosts{Count: int(values[0]), Revision: values[1]}, now)
 	}
 }
 
--- a/internal/frontend/discovery_test.go
+++ b/internal/frontend/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -16,13 +17,17 @@
 		return &FrontEnd{settings: &Settings{}, log: logr.Discard(), members: gossip.NewTable(gossip.Member{Name: name})}
 	}
 	reader, other := newHost("edge-1"), newHost("edge-2")
-	other.mergeStoredHosts(reader.storedHostsSection())
+	now := time.Unix(1000, 0)
+	other.mergeStoredHosts(reader.storedHostsSection(true, now), now)
 	_, known := other.members.StoredHosts()
 	require.False(t, known)
-	reader.members.MergeStoredHosts(gossip.StoredHosts{Count: 7, Revision: 12})
-	other.mergeStoredHosts(append([]gossip.Section{{Name: "of a later version", Data: []byte{1}}}, reader.storedHostsSection()...))
+	reader.members.MergeStoredHosts(gossip.StoredHosts{Count: 7, Revision: 12}, now)
+	other.mergeStoredHosts(append([]gossip.Section{{Name: "of a later version", Data: []byte{1}}}, reader.storedHostsSection(false, now)...), now)
 	s, _ := other.members.StoredHosts()
 	require.Equal(t, gossip.StoredHosts{Count: 7, Revision: 12}, s)
+	now = now.Add(time.Minute)
+	require.Empty(t, reader.storedHostsSection(false, now), "all know it")
+	require.NotEmpty(t, reader.storedHostsSection(true, now), "a starting host does not")
 }
 
 // Guards against settings whose changed seeds are not used.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -238,7 +238,7 @@
 	now := time.Now()
 	if full {
 		evidence, rest := f.rollouts.encodeEvidence()
-		m.Evidence, m.Sections = evidence, append(f.storedHostsSection(), rest...)
+		m.Evidence, m.Sections = evidence, append(f.storedHostsSection(m.Reply, now), rest...)
 	}
 	switch m.Content {
 	case gossip.AllLoads:
@@ -278,7 +278,7 @@
 	case m.Split.Losses != nil:
 		f.gateway.Suspects().SetPeerCountsWithin(m.Self.Name, m.Losses, m.Split.Losses.Contains)
 	}
-	f.mergeStoredHosts(m.Sections)
+	f.mergeStoredHosts(m.Sections, now)
 	f.rollouts.mergeEvidence(m.Evidence, m.Sections)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
--- a/internal/gossip/discovery_test.go
+++ b/internal/gossip/discovery_test.go
@@ -96,7 +96,7 @@
 			h.transport.Contact(lo.Map(hosts, func(d discovery.Host, _ int) Member { return Member{Name: d.Name, PeerAddress: d.PeerAddress} }))
 		},
 		OnRead: func(hosts int, revision uint64) {
-			h.table.MergeStoredHosts(StoredHosts{Count: hosts, Revision: revision})
+			h.table.MergeStoredHosts(StoredHosts{Count: hosts, Revision: revision}, time.Now())
 		},
 	}
 	go service.Run(ctx)
@@ -168,8 +168,8 @@
 	now := time.Unix(1000, 0)
 	table := NewTable(member("a", 1, 0, Ready))
 	require.Equal(t, unknownSiteHosts, table.SharingHosts(now), "not known yet")
-	table.MergeStoredHosts(StoredHosts{Count: 7, Revision: 40})
-	table.MergeStoredHosts(StoredHosts{Count: 3, Revision: 30})
+	table.MergeStoredHosts(StoredHosts{Count: 7, Revision: 40}, now)
+	table.MergeStoredHosts(StoredHosts{Count: 3, Revision: 30}, now)
 	require.Equal(t, 7, table.SharingHosts(now), "alone, seven in the table")
 	for _, name := range []string{"b", "c", "d"} {
 		table.Merge(Message{Self: member(name, 1, 1, Ready)}, now)
@@ -178,10 +178,10 @@
 	later := now.Add(FailureTimeout + time.Second)
 	table.Merge(Message{Self: member("b", 1, 2, Ready)}, later)
 	require.Equal(t, 7, table.SharingHosts(later))
-	table.MergeStoredHosts(StoredHosts{Count: 2, Revision: 50})
+	table.MergeStoredHosts(StoredHosts{Count: 2, Revision: 50}, now)
 	require.Equal(t, 4, table.SharingHosts(later), "the hosts seen in the last minute count")
 	only := NewTable(member("a", 1, 0, Ready))
-	only.MergeStoredHosts(StoredHosts{Count: 1, Revision: 1})
+	only.MergeStoredHosts(StoredHosts{Count: 1, Revision: 1}, now)
 	require.Equal(t, 1, only.SharingHosts(now))
 }
 
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -132,6 +132,9 @@
 	// unknownSiteHosts is the number of hosts that a host assumes while it knows no other and has
 	// not read how many there are.
 	unknownSiteHosts = 64
+	// storedHostsNewsPeriod is how long a changed number of hosts in the store is sent to others,
+	// who may miss some datagrams. Starting hosts learn it with the reply to their first message.
+	storedHostsNewsPeriod = 10 * time.Second
 )
 
 type entry struct {
@@ -173,6 +176,8 @@
 	rotation int
 	// addressesWanted is set while reports were ignored because they lacked addresses.
 	addressesWanted bool
+	// storedChangedAt is when the number of stored has changed.
+	storedChangedAt time.Time
 
 	cells        atomic.Pointer[Cells]
 	limitSharers atomic.Pointer[upstreamlimit.Sharers]
@@ -547,14 +552,26 @@
 }
 
 // MergeStoredHosts takes over a newer state of the table of hosts.
-func (t *Table) MergeStoredHosts(s StoredHosts) {
+func (t *Table) MergeStoredHosts(s StoredHosts, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if held := t.stored.Load(); held == nil || s.Revision > held.Revision || s.Revision == held.Revision && s.Count > held.Count {
+	held := t.stored.Load()
+	if held == nil || s.Revision > held.Revision || s.Revision == held.Revision && s.Count > held.Count {
+		if held == nil || held.Count != s.Count {
+			t.storedChangedAt = now
+		}
 		t.stored.Store(&s)
 	}
 }
 
+// StoredHostsChanged reports whether the known number of hosts in the table has changed so recently
+// that other hosts may not have heard of it.
+func (t *Table) StoredHostsChanged(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.storedChangedAt) <= storedHostsNewsPeriod
+}
+
 // StoredHosts returns the newest known state of the table of hosts, and whether there is one.
 func (t *Table) StoredHosts() (StoredHosts, bool) {
 	if s := t.stored.Load(); s != nil {
