--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -164,7 +164,8 @@
 // isDigest reports whether the message is the digest of the sender's cell. Other messages without
 // loads introduce fewer members.
 func (m *Message) isDigest() bool {
-	return m.Content == NoLoads && len(m.Others) > maxMembersPerMessage
+	continues := m.Split != nil && m.Split.Continuation
+	return (m.Content == NoLoads || continues) && len(m.Others) > maxMembersPerMessage
 }
 
 // Table is the membership table of a host. It is safe for concurrent use.
