--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -132,6 +132,9 @@
 	// unknownSiteHosts is the number of hosts that a host assumes while it knows no other and has
 	// not read how many there are.
 	unknownSiteHosts = 64
+	// storedHostsNewsPeriod is how long a changed number of hosts in the store is sent to others,
+	// who may miss some datagrams. Starting hosts learn it with the reply to their first message.
+	storedHostsNewsPeriod = 10 * time.Second
 )
 
 type entry struct {
@@ -145,15 +148,26 @@
 	loadsSentAt         time.Time
 	incarnationLearntAt time.Time
 	inOtherCell         bool
+	// inDigestAt is when the host was last named by a digest.
+	inDigestAt time.Time
 }
 
 func (e *entry) live(now time.Time) bool {
-	if e.inOtherCell {
+	// While a site grows or shrinks, hosts disagree for some seconds on whether it is divided.
+	// A host that is named by digests is heard of once a second, whatever this host believes.
+	if e.inOtherCell || now.Sub(e.inDigestAt) <= remoteFailureTimeout {
 		return now.Sub(e.lastSeen) <= remoteFailureTimeout
 	}
 	return now.Sub(e.lastSeen) <= FailureTimeout
 }
 
+// isDigest reports whether the message is the digest of the sender's cell. Other messages without
+// loads introduce fewer members.
+func (m *Message) isDigest() bool {
+	continues := m.Split != nil && m.Split.Continuation
+	return (m.Content == NoLoads || continues) && len(m.Others) > maxMembersPerMessage
+}
+
 // Table is the membership table of a host. It is safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
@@ -163,6 +177,8 @@
 	rotation int
 	// addressesWanted is set while reports were ignored because they lacked addresses.
 	addressesWanted bool
+	// storedChangedAt is when the number of stored has changed.
+	storedChangedAt time.Time
 
 	cells        atomic.Pointer[Cells]
 	limitSharers atomic.Pointer[upstreamlimit.Sharers]
@@ -262,6 +278,13 @@
 	for _, o := range m.Others {
 		t.mergeLocked(o, now, false)
 	}
+	if m.isDigest() {
+		for _, o := range append([]Member{m.Self}, m.Others...) {
+			if e := t.others[o.Name]; e != nil {
+				e.inDigestAt = now
+			}
+		}
+	}
 	return changed
 }
 
@@ -442,6 +465,35 @@
 	return e != nil && !e.inOtherCell
 }
 
+// SilentCellHosts returns a live host of each other cell whose digest is overdue.
+func (t *Table) SilentCellHosts(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cells := t.Cells()
+	var out []Member
+	for c, hosts := range cells.hostsByCell {
+		if c == cells.ownCell {
+			continue
+		}
+		var live []Member
+		overdue := true
+		for _, m := range hosts {
+			e := t.others[m.Name]
+			if e == nil {
+				continue
+			}
+			overdue = overdue && now.Sub(e.inDigestAt) > digestOverdueTime
+			if e.live(now) {
+				live = append(live, e.member)
+			}
+		}
+		if overdue && len(live) > 0 {
+			out = append(out, live[t.random.IntN(len(live))])
+		}
+	}
+	return out
+}
+
 // isLive reports whether another host is known and live.
 func (t *Table) isLive(name string, now time.Time) bool {
 	t.mu.Lock()
@@ -501,14 +553,26 @@
 }
 
 // MergeStoredHosts takes over a newer state of the table of hosts.
-func (t *Table) MergeStoredHosts(s StoredHosts) {
+func (t *Table) MergeStoredHosts(s StoredHosts, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if held := t.stored.Load(); held == nil || s.Revision > held.Revision || s.Revision == held.Revision && s.Count > held.Count {
+	held := t.stored.Load()
+	if held == nil || s.Revision > held.Revision || s.Revision == held.Revision && s.Count > held.Count {
+		if held == nil || held.Count != s.Count {
+			t.storedChangedAt = now
+		}
 		t.stored.Store(&s)
 	}
 }
 
+// StoredHostsChanged reports whether the known number of hosts in the table has changed so recently
+// that other hosts may not have heard of it.
+func (t *Table) StoredHostsChanged(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.storedChangedAt) <= storedHostsNewsPeriod
+}
+
 // StoredHosts returns the newest known state of the table of hosts, and whether there is one.
 func (t *Table) StoredHosts() (StoredHosts, bool) {
 	if s := t.stored.Load(); s != nil {
--- a/internal/gossip/table_test.go
+++ b/internal/gossip/table_test.go
@@ -133,3 +133,67 @@
 	require.Contains(t, names(table.Live(now.Add(FailureTimeout+FailureTimeout/2))), "b")
 	require.NotContains(t, names(table.Live(now.Add(2*FailureTimeout))), "b")
 }
+
+// Guards against live hosts that count as failed while a site grows or shrinks: this host does
+// not divide it and expects datagrams of all, others divide it and send digests only.
+func TestDigestsKeepHostsLiveOnAnUndividedSite(t *testing.T) {
+	table, now := NewTable(member("a", 1, 0, Ready)), time.Unix(1000, 0)
+	digest := func(beat uint64, at time.Time) {
+		m := Message{Self: member("h00", 1, beat, Ready), Content: NoLoads}
+		for i := 1; i < 30; i++ {
+			o := member(fmt.Sprintf("h%02d", i), 1, beat, Ready)
+			o.Age = 400
+			m.Others = append(m.Others, o)
+		}
+		table.Merge(m, at)
+	}
+	digest(5, now)
+	table.Refresh(now)
+	require.False(t, table.Cells().Divided())
+	// The next digest is lost; the one after it comes from a host that sends later in the second.
+	at := now.Add(2*digestInterval + 900*time.Millisecond)
+	require.Equal(t, 30, table.CountLive(at))
+	digest(9, at)
+	require.Equal(t, 30, table.CountLive(at))
+	// Without further digests, and with datagrams of its own, a host counts as one of the cell.
+	at = at.Add(remoteFailureTimeout + time.Millisecond)
+	table.Merge(Message{Self: member("h07", 1, 20, Ready)}, at)
+	require.Equal(t, []string{"h07"}, names(table.Live(at)))
+	require.Zero(t, table.CountLive(at.Add(FailureTimeout+time.Millisecond)))
+}
+
+// Guards against hosts of another cell that are taken off the list because some of its digests
+// in a row were lost: the cell is asked for one in time, and again until it answers.
+func TestSilentCellsAreAsked(t *testing.T) {
+	hosts, now := makeHosts(200, 2), time.Unix(1000, 0)
+	table := NewTable(hosts[0])
+	receiveDigest := func(of cell, at time.Time) {
+		m := Message{Content: NoLoads}
+		for _, h := range hosts[1:] {
+			if cellsSeenBy(hosts, 0).cellOf(h.DataCentre, h.Name) == of {
+				h.Heartbeat = uint64(at.UnixMilli())
+				m.Others = append(m.Others, h)
+			}
+		}
+		m.Self, m.Others = m.Others[0], m.Others[1:]
+		table.Merge(m, at)
+	}
+	all := cellsSeenBy(hosts, 0).hostsByCell
+	for c := range all {
+		receiveDigest(c, now)
+	}
+	table.Refresh(now)
+	require.Empty(t, table.SilentCellHosts(now.Add(2*digestInterval)), "of different senders")
+	silent := cell{hosts[1].DataCentre, 1}
+	for c := range all {
+		if c != silent {
+			receiveDigest(c, now.Add(digestInterval))
+		}
+	}
+	for asked := digestOverdueTime + time.Millisecond; asked < remoteFailureTimeout-digestInterval; asked += roundsPerCellSend * RoundInterval {
+		ask := table.SilentCellHosts(now.Add(asked))
+		require.Len(t, ask, 1)
+		require.Equal(t, silent, table.Cells().cellOf(ask[0].DataCentre, ask[0].Name))
+	}
+	require.Empty(t, table.SilentCellHosts(now.Add(time.Minute)), "all have failed")
+}
