--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,8 @@
 
 // Limits holds the limits of requests and streams.
 type Limits struct {
+	// MemoryMB is the memory of the machine for the process.
+	MemoryMB      int           `yaml:"memory-mb" validate:"gte=32,lte=1048576"`
 	MaxBodyBytes  int64         `yaml:"body-bytes" validate:"gte=1024,lte=67108864"`
 	HeaderTimeout time.Duration `yaml:"header-timeout" validate:"gte=100ms,lte=1m"`
 	IdleTimeout   time.Duration `yaml:"idle-timeout" validate:"gte=1s,lte=1h"`
@@ -112,7 +114,7 @@
 		Host:     Host{Cell: "cell-0"},
 		Platform: Platform{TableName: "rattanscale", Region: "local", Bucket: "rattanscale", WeightStoreLoadsPerMinute: 6},
 		Limits: Limits{
-			MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
+			MemoryMB: 512, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
 			TokenTimeout: 5 * time.Second, MaxOpenStreams: 20_000,
 		},
 		Drain:    Drain{AnnounceDuration: 6 * time.Second, StreamTimeLimit: 30 * time.Second},
