Give out the memory for clients by one budget

Many clients within the limits of one request, or stalling in it, made a process hold more memory than its machine has, and used up its descriptors: only single requests had limits. 30 bodies of 4 MiB, one byte short, took 180 MB on a machine of 80 MB.

internal/membudget gives out memory and connections from limits.memory-mb and the limit of descriptors: a pure ledger, a lock with metrics and log, and connections that scan heads and chunks as they arrive and reserve what a head costs once parsed. Requests that have not arrived whole give way: stalled ones first, then those of addresses over their share, then slower ones. They are answered 503 with Retry-After (429 by the daemon), not run. Idle and stalled connections are closed for new ones. A request that has arrived is never ended. The front end (callers; readiness, directory and metrics apart) and the daemon (callers; operators apart) use it, the peer server bounds handshakes. A body is held once: the digest and the write to the upstream no longer copy it. A plain response is written in pieces with a deadline each. A head of legal size as sent was refused 431 if its fields lacked the usual white space; it is served now. make test runs e2e/hostile last.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,8 @@
 	$(GO) tool staticcheck ./...
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run (KNOWN-RED.txt): $(KNOWN_RED)"; fi
 	$(GO) test -race -parallel 4 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) vet -tags hostile ./e2e/hostile
+	$(GO) test -tags hostile -p 1 -parallel 1 -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./e2e/hostile
 
 # quick is for the loop between commits: it leaves out the packages that take longest.
 quick:
--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -3,11 +3,14 @@
 package hostile
 
 import (
+	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -102,7 +105,7 @@
 	defer stop()
 	var sent, clients sync.WaitGroup
 	dialer := net.Dialer{Timeout: waitTimeout}
-	for range c.clients {
+	for range cmp.Or(*clientCount, c.clients) {
 		sent.Add(1)
 		clients.Go(func() {
 			conn, err := dialer.DialContext(ctx, "tcp", target.address)
@@ -119,6 +122,10 @@
 	done := make(chan struct{})
 	go func() { sent.Wait(); close(done) }()
 	descriptors := 0
+	answered := func() bool {
+		descriptors = max(descriptors, target.descriptors())
+		return target.ordinary()
+	}
 	for sending := true; sending; {
 		select {
 		case <-done:
@@ -128,18 +135,19 @@
 		descriptors = max(descriptors, target.descriptors())
 	}
 	require.True(t, target.lives(), "the process has ended")
-	eventually(t, "an ordinary request is answered beside the crowd", target.ordinary)
+	eventually(t, "an ordinary request is answered beside the crowd", answered)
+	descriptors = max(descriptors, target.descriptors())
 	stop()
 	clients.Wait()
 	eventually(t, "an ordinary request is answered after the crowd", target.ordinary)
 	require.True(t, target.lives(), "the process has ended")
 	memory := target.peakMemoryMB()
 	t.Logf("peak memory %d MB, %d descriptors", memory, descriptors)
-	assert.LessOrEqual(t, memory, machineMemoryMB, "peak memory in MB")
-	assert.LessOrEqual(t, descriptors, machineDescriptors-spareDescriptors, "open descriptors")
+	assert.LessOrEqual(t, memory, *machineMemoryMB, "peak memory in MB")
+	assert.LessOrEqual(t, descriptors, *machineDescriptors-spareDescriptors, "open descriptors")
 }
 
-func descriptorLimit() string { return fmt.Sprintf("%s=%d", descriptorsEnv, machineDescriptors) }
+func descriptorLimit() string { return fmt.Sprintf("%s=%d", descriptorsEnv, *machineDescriptors) }
 
 // Guards against clients that end a front end by the memory it holds for them.
 func TestFrontendOutlivesCrowd(t *testing.T) {
@@ -166,28 +174,28 @@
 }
 
 // silentCrowd opens connections, more than the process may have descriptors, and sends nothing.
-var silentCrowd = crowd{machineDescriptors + 50, func(target, net.Conn) {}}
+func silentCrowd() crowd { return crowd{*machineDescriptors + 50, func(target, net.Conn) {}} }
 
 // Guards against clients that use up the descriptors by connections on which nothing arrives.
 func TestSilentConnectionsLeaveDescriptors(t *testing.T) {
 	t.Run("callers", func(t *testing.T) {
 		target, _ := startFrontend(t, descriptorLimit())
-		silentCrowd.attack(t, target)
+		silentCrowd().attack(t, target)
 	})
 	for _, name := range []string{"readiness", "directory", "metrics", "peer"} {
 		t.Run(name, func(t *testing.T) {
 			target, addresses := startFrontend(t, descriptorLimit())
 			target.address = addresses[name]
-			silentCrowd.attack(t, target)
+			silentCrowd().attack(t, target)
 		})
 	}
 	t.Run("daemon", func(t *testing.T) {
 		target, _ := startDaemon(t, descriptorLimit())
-		silentCrowd.attack(t, target)
+		silentCrowd().attack(t, target)
 	})
 	t.Run("operators", func(t *testing.T) {
 		_, target := startDaemon(t, descriptorLimit())
-		silentCrowd.attack(t, target)
+		silentCrowd().attack(t, target)
 	})
 }
 
@@ -203,3 +211,34 @@
 		}
 	}
 }
+
+// Guards against limits that a client inside the limits of the pages meets: a single body and a
+// single head at the limit, also of short lines, and 20 requests at a time with bodies of 17 kB.
+func TestRequestsWithinLimitsAreServedInCalm(t *testing.T) {
+	target, _ := startFrontend(t, descriptorLimit())
+	url := "http://" + target.address + "/unsafe/a"
+	header := map[string]string{"Authorization": "Bearer " + accountKey}
+	for i := range 3 {
+		header["X-Attempt-Id"] = fmt.Sprint("body-", i)
+		require.True(t, succeeds("POST", url, string(bodyOnce()), header), "a body of 4 MiB")
+		conn, err := net.Dial("tcp", target.address)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+		head := target.head + fmt.Sprintf("X-Attempt-Id: head-%d\r\nContent-Length: 0\r\n", i)
+		write(conn, []byte(head+oddFields(headBytes-len(head)-100)+"\r\n"))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode, "a head of 16 KiB")
+		_ = conn.Close()
+		var calls sync.WaitGroup
+		for j := range 20 {
+			calls.Go(func() {
+				ok := succeeds("POST", url, strings.Repeat("x", 17_000), map[string]string{
+					"Authorization": "Bearer " + accountKey, "X-Attempt-Id": fmt.Sprintf("many-%d-%d", i, j),
+				})
+				assert.True(t, ok, "20 requests at a time")
+			})
+		}
+		calls.Wait()
+	}
+}
--- a/e2e/hostile/process_test.go
+++ b/e2e/hostile/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,11 +34,9 @@
 	programEnv     = "RATTANSCALE_HOSTILE_PROGRAM"
 	descriptorsEnv = "RATTANSCALE_HOSTILE_DESCRIPTORS"
 
-	// machineMemoryMB is the memory of the machine as the settings state it.
-	machineMemoryMB = 80
-	// machineDescriptors is the limit of open descriptors, and spareDescriptors the part of it
-	// that callers must leave for upstreams, the store and other hosts.
-	machineDescriptors, spareDescriptors = 256, 64
+	// spareDescriptors is the part of the descriptors that callers must leave for upstreams, the
+	// store and other hosts.
+	spareDescriptors = 64
 
 	// waitTimeout bounds the wait for an expected state; it is not a performance target.
 	waitTimeout = 60 * time.Second
@@ -46,6 +45,13 @@
 	operatorKey = "operator-key-0123"
 )
 
+// By hand, crowds of any size are played against machines of any size.
+var (
+	machineMemoryMB    = flag.Int("hostile.memory", 80, "memory of the machine in MB, as the settings state it, and bound of the process")
+	machineDescriptors = flag.Int("hostile.descriptors", 256, "limit of open descriptors")
+	clientCount        = flag.Int("hostile.clients", 0, "number of clients of each crowd; 0: the fixed one")
+)
+
 func TestMain(m *testing.M) {
 	mains := map[string]func([]string, io.Writer, io.Writer) int{
 		"frontend": func(args []string, stdout, stderr io.Writer) int {
@@ -202,7 +208,7 @@
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	text := fmt.Sprintf("host: {name: h1, data-centre: praha-1}\nlisten: {caller: %q, readiness: %q, directory: %q, peer: %q, metrics: %q}\n"+
 		"store: {address: %q}\npeers: {key: key-of-the-hosts-1}\nlimits: {memory-mb: %d}\n",
-		addresses["caller"], addresses["readiness"], addresses["directory"], addresses["peer"], addresses["metrics"], store.Address, machineMemoryMB)
+		addresses["caller"], addresses["readiness"], addresses["directory"], addresses["peer"], addresses["metrics"], store.Address, *machineMemoryMB)
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	p := startProcess(t, "frontend", environment, "-config", file)
 	answered := func() bool {
@@ -225,7 +231,7 @@
 	settingsText := fmt.Sprintf("host: {name: h1, data-centre: praha-1}\nlisten: {caller: %q, operator: %q, peer: %q}\nplatform: {table: memory}\n"+
 		"keys: {resume: resume-key-0123456, peer: peer-key-012345678, operators: {ops: %s}, accounts: {guides: %s}}\n"+
 		"limits: {memory-mb: %d, body-bytes: 4194304, header-timeout: 30s, idle-timeout: 60s}\n",
-		callerAddress, operatorAddress, freeAddress(t), operatorKey, accountKey, machineMemoryMB)
+		callerAddress, operatorAddress, freeAddress(t), operatorKey, accountKey, *machineMemoryMB)
 	require.NoError(t, os.WriteFile(file, []byte(settingsText), 0o600))
 	p := startProcess(t, "daemon", environment, "-config", file)
 
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -22,6 +22,7 @@
 	"github.com/rattanscale/rattanscale/internal/auth"
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 	"github.com/rattanscale/rattanscale/internal/relay"
 	"github.com/rattanscale/rattanscale/internal/stream"
 )
@@ -264,6 +265,10 @@
 		if errors.As(err, &tooLarge) {
 			return nil, failure.NotRun(failure.BodyTooLarge, "the body is larger than %d bytes", s.MaxBodyBytes)
 		}
+		if errors.Is(err, membudget.ErrNoRoom) {
+			w.Header().Set("Connection", "close")
+			return nil, failure.NotRun(failure.QueueFull, "%v", err)
+		}
 		return nil, failure.NotRun(failure.InvalidRequest, "cannot read the request body: %v", err)
 	}
 	if s.openRequests.Add(1) > s.MaxStreams {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/rattanscale/rattanscale/internal/idempotency"
 	"github.com/rattanscale/rattanscale/internal/membership"
 	"github.com/rattanscale/rattanscale/internal/membership/runner"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 	"github.com/rattanscale/rattanscale/internal/operatorapi"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/permit"
@@ -40,8 +42,11 @@
 	// syncInterval is the time between checks for a new member view or configuration.
 	syncInterval = 20 * time.Millisecond
 	// shutdownTimeout bounds closing the HTTP servers after the drain.
-	shutdownTimeout     = 2 * time.Second
-	maxHeaderBytes      = 16 << 10
+	shutdownTimeout = 2 * time.Second
+	maxHeaderBytes  = 16 << 10
+	// bodyCopies is how many copies of a body the process holds at a time: as received, decoded,
+	// and encoded for the upstream.
+	bodyCopies          = 4
 	maxWholeAnswerBytes = 16 << 20
 )
 
@@ -75,6 +80,8 @@
 	operatorServer *operatorapi.Server
 	metrics        *metrics.Set
 	drain          *drain
+	// budget gives out the memory for callers, operatorBudget that for operators.
+	budget, operatorBudget *membudget.Budget
 }
 
 // Run runs the daemon until ctx ends, drains it and stops it.
@@ -105,6 +112,10 @@
 		follower: do.MustInvoke[*changelog.Follower](i), changeLog: do.MustInvoke[*changelog.Log](i),
 		metrics: metrics.NewSet(), drain: newDrain(),
 	}
+	limits := membudget.LimitsFor(s.Limits.MemoryMB, membudget.Descriptors())
+	debug.SetMemoryLimit(limits.GoBytes)
+	d.budget = membudget.New(limits, "caller", d.metrics, d.log)
+	d.operatorBudget = membudget.New(limits.Auxiliary(), "operator", d.metrics, d.log)
 	d.peerServer, d.peerClient = peer.New(options)
 	d.events = &events{d.recorder}
 	hosts := do.MustInvoke[storage.HostList](i)
@@ -253,7 +264,7 @@
 func (d *Daemon) startServers(group *errgroup.Group, l listeners) []*http.Server {
 	group.Go(func() error { return d.peerServer.Serve(l.peer) })
 	callerServer, operatorServer := d.httpServer(d.callerServer.Handler()), d.httpServer(d.operatorServer.Handler())
-	for server, listener := range map[*http.Server]net.Listener{callerServer: l.caller, operatorServer: l.operator} {
+	for server, listener := range map[*http.Server]net.Listener{callerServer: d.count(l.caller, d.budget), operatorServer: d.count(l.operator, d.operatorBudget)} {
 		group.Go(func() error {
 			err := error(nil)
 			if server.TLSConfig != nil {
@@ -270,9 +281,17 @@
 	return []*http.Server{callerServer, operatorServer}
 }
 
+// count returns a listener whose connections the budget counts.
+func (d *Daemon) count(l net.Listener, budget *membudget.Budget) net.Listener {
+	return membudget.Listen(l, membudget.Options{
+		Budget: budget, TLS: d.tls != nil, MaxHeadBytes: func() int { return maxHeaderBytes }, RefusalHeader: http.Header{"Retry-After": {"1"}},
+	})
+}
+
 func (d *Daemon) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout, IdleTimeout: d.settings.Limits.IdleTimeout,
+		Handler: membudget.Handler(handler, bodyCopies), ConnState: membudget.OnState, ConnContext: membudget.WithConn,
+		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout, IdleTimeout: d.settings.Limits.IdleTimeout,
 		ReadTimeout: d.settings.Limits.IdleTimeout, MaxHeaderBytes: maxHeaderBytes, TLSConfig: d.tls.Server(false),
 	}
 }
--- a/internal/frontend/callerconn.go
+++ b/internal/frontend/callerconn.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 )
 
 // idleGrace is added to the configured idle time-out, so that a request sent just before the
@@ -42,6 +43,9 @@
 	return &callerConn{Conn: conn, limits: l.limits}, nil
 }
 
+// NetConn returns the connection below, whose memory is counted.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // callerConn replaces the read deadlines that http.Server sets between requests.
 type callerConn struct {
 	net.Conn
@@ -51,6 +55,7 @@
 
 // onConnState is the ConnState hook of the server.
 func onConnState(conn net.Conn, state http.ConnState) {
+	membudget.OnState(conn, state)
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -19,6 +19,7 @@
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/guard"
 	"github.com/rattanscale/rattanscale/internal/hop"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/retry"
 	"github.com/rattanscale/rattanscale/internal/routing"
@@ -33,9 +34,6 @@
 	// evidenceInterval is the interval at which hosts of a divided site send their rollout
 	// evidence to all others; a bad version must be detected within seconds.
 	evidenceInterval = time.Second
-	// memoryLimitShare is the fraction of the configured memory that is set as the soft limit of
-	// the Go runtime; the rest is for memory outside it, such as kernel buffers.
-	memoryLimitShare = 0.6
 )
 
 // Platform is the interface of the front end to the adapter of the users' platform.
@@ -80,6 +78,9 @@
 	peerClient    *peer.Client
 	copyScheduler *copyScheduler
 	rollouts      *rollouts
+	// budget gives out the memory for callers, auxiliaryBudget that for requests for the
+	// directory, readiness and metrics, so that callers cannot crowd these out.
+	budget, auxiliaryBudget *membudget.Budget
 
 	startedAt  time.Time
 	fetchSlots chan struct{}
@@ -94,6 +95,9 @@
 		settings: s, platform: p, log: log, metrics: gateway.NewMetrics(), loadTracker: balance.NewTracker(),
 		startedAt: time.Now(), fetchSlots: make(chan struct{}, maxServedFetches),
 	}
+	limits := membudget.LimitsFor(s.Limits.MemoryMB, membudget.Descriptors())
+	f.budget = membudget.New(limits, "caller", f.metrics.Set(), log)
+	f.auxiliaryBudget = membudget.New(limits.Auxiliary(), "auxiliary", f.metrics.Set(), log)
 	f.pool = hop.NewPool(f.metrics.RecordConnection)
 	f.members = gossip.NewTable(gossip.Member{
 		Name: s.Host.Name, Incarnation: time.Now().UnixMilli(), State: gossip.Starting, DataCentre: s.Host.DataCentre,
@@ -147,7 +151,7 @@
 
 // Run serves until ctx ends or a server fails, then drains.
 func (f *FrontEnd) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(f.settings.Limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(f.budget.Limits().GoBytes)
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, workCtx := errgroup.WithContext(workCtx)
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanscale/rattanscale/internal/gossip"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 )
 
 const (
@@ -25,6 +26,11 @@
 	drainPollInterval        = 50 * time.Millisecond
 	// auxiliaryTimeout bounds requests for the directory, readiness and metrics.
 	auxiliaryTimeout = 5 * time.Second
+	// maxAuxiliaryHeadBytes bounds the heads of these requests.
+	maxAuxiliaryHeadBytes = 16 << 10
+	// refusedRetryAfter is the delay after which a request may be sent again that was refused
+	// for lack of memory.
+	refusedRetryAfter = time.Second
 )
 
 // serveAuxiliary serves the directory, readiness and metrics until ctx ends.
@@ -42,13 +48,24 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: f.settings.Limits.IdleTimeout}
-		group.Go(func() error { return ignoreServerClosed(server.Serve(listener)) })
+		server := &http.Server{
+			Handler: membudget.Handler(handler, 1), ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: f.settings.Limits.IdleTimeout,
+			MaxHeaderBytes: maxAuxiliaryHeadBytes, ConnState: membudget.OnState, ConnContext: membudget.WithConn,
+		}
+		counted := membudget.Listen(listener, f.budgetOptions(f.auxiliaryBudget, func() int { return maxAuxiliaryHeadBytes }))
+		group.Go(func() error { return ignoreServerClosed(server.Serve(counted)) })
 		context.AfterFunc(ctx, func() { _ = server.Close() })
 	}
 	return nil
 }
 
+// budgetOptions returns the options of a listener whose memory the budget gives out.
+func (f *FrontEnd) budgetOptions(budget *membudget.Budget, maxHeadBytes func() int) membudget.Options {
+	refusal := http.Header{}
+	f.platform.Protocol.RetryAfter(refusal, refusedRetryAfter)
+	return membudget.Options{Budget: budget, MaxHeadBytes: maxHeadBytes, RefusalHeader: refusal}
+}
+
 func ignoreServerClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -64,9 +81,15 @@
 	limits := f.settings.Limits
 	server := &http.Server{
 		Handler: f.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.HeaderBytes,
-		ConnState: onConnState,
+		ConnState: onConnState, ConnContext: membudget.WithConn,
 	}
-	configuredListener := callerListener{Listener: listener, limits: f.callerLimits}
+	counted := membudget.Listen(listener, f.budgetOptions(f.budget, func() int {
+		if configured := f.callerLimits().HeaderBytes; configured > 0 {
+			return configured
+		}
+		return limits.HeaderBytes
+	}))
+	configuredListener := callerListener{Listener: counted, limits: f.callerLimits}
 	group.Go(func() error { return ignoreServerClosed(server.Serve(configuredListener)) })
 	return server, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -11,11 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/hop"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
@@ -31,6 +32,8 @@
 	startingRetryAfter = 500 * time.Millisecond
 	// drainingRetryAfter makes callers of a draining host retry at another one at once.
 	drainingRetryAfter = 50 * time.Millisecond
+	// noRoomRetryAfter is the time within which requests that stall have given up their memory.
+	noRoomRetryAfter = time.Second
 )
 
 // Options configures a Gateway. It must not be modified after New.
@@ -202,6 +205,7 @@
 	c := &call{g: g, w: w, r: r, startedAt: time.Now(), catalog: g.Catalog(), info: g.Protocol.Request(r.Header)}
 	c.logEntry.startedAt = c.startedAt
 	defer c.logRequest()
+	defer membudget.Release(r.Context())
 	defer func() {
 		for _, release := range c.releaseBodies {
 			release()
@@ -291,6 +295,10 @@
 		return false
 	}
 	if c.r.ContentLength == 0 {
+		if err := membudget.Complete(c.r.Context()); err != nil {
+			c.refuseWithoutRoom(err)
+			return false
+		}
 		return true
 	}
 	limit := limits.BodyBytes
@@ -300,7 +308,7 @@
 	controller := http.NewResponseController(c.w)
 	err := controller.SetReadDeadline(c.deadline)
 	if err == nil {
-		c.body, err = io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+		c.body, err = membudget.ReadBody(c.r.Context(), http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit)
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -312,6 +320,8 @@
 		return true
 	case errors.As(err, &tooLarge):
 		c.fail(http.StatusRequestEntityTooLarge, "the body is longer than the limit")
+	case errors.Is(err, membudget.ErrNoRoom):
+		c.refuseWithoutRoom(err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.w.Header().Set("Connection", "close")
 		c.fail(http.StatusRequestTimeout, "the body did not arrive within the time of the request")
@@ -321,8 +331,23 @@
 	return false
 }
 
-// headerSize is the encoded size in bytes of the request line and the header fields.
+// refuseWithoutRoom refuses a request for which the process has no memory. The rest of its body
+// is not read.
+func (c *call) refuseWithoutRoom(err error) {
+	c.w.Header().Set("Connection", "close")
+	c.refuse(err.Error(), noRoomRetryAfter)
+}
+
+// headerSize is the size in bytes of the request line and the header fields: as sent, or encoded
+// in the usual way if that is less, since callers may send more or less white space.
 func headerSize(r *http.Request) int {
+	if sent, known := membudget.HeadBytes(r.Context()); known {
+		return min(sent, encodedHeaderSize(r))
+	}
+	return encodedHeaderSize(r)
+}
+
+func encodedHeaderSize(r *http.Request) int {
 	const requestLineOverhead, fieldOverhead = len("  HTTP/1.1\r\n"), len(": \r\n")
 	n := requestLineOverhead + len(r.Method) + len(r.RequestURI) + len("Host") + len(r.Host) + fieldOverhead
 	for name, values := range r.Header {
@@ -355,7 +380,10 @@
 // computeFingerprint returns a hash that is the same on every host for equal requests of
 // an account.
 func (c *call) computeFingerprint() uint64 {
-	return retry.Hash(c.account + "\x00" + c.r.RequestURI + "\x00" + string(c.body))
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.account + "\x00" + c.r.RequestURI + "\x00") // never fails
+	_, _ = digest.Write(c.body)
+	return digest.Sum64()
 }
 
 // endsBeforeDrain reports whether a draining host may send the request. Once strictFrom has
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,9 @@
 	return m
 }
 
+// Set returns the set to which other parts of the process add their metrics.
+func (m *Metrics) Set() *metrics.Set { return m.set }
+
 // Write writes the metrics in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -14,6 +14,10 @@
 // together may keep idle; the rest is for requests in progress.
 const idleConnectionFraction = 0.5
 
+// responsePieceBytes is what a caller must read within callerWriteTimeout, so that one that does
+// not read holds no response for longer.
+const responsePieceBytes = 64 << 10
+
 // bufferedResponse is a complete response of an upstream.
 type bufferedResponse struct {
 	status int
@@ -225,8 +229,16 @@
 	copyHeader(c.w.Header(), a.header)
 	c.w.WriteHeader(a.status)
 	c.logEntry.status, c.logEntry.outcome = a.status, "answered"
-	if _, err := c.w.Write(a.body); err != nil {
-		c.logEntry.outcome, c.logEntry.reason = "caller gone", err.Error()
+	controller := http.NewResponseController(c.w)
+	for body := a.body; len(body) > 0; {
+		piece := body[:min(len(body), responsePieceBytes)]
+		body = body[len(piece):]
+		// Without a deadline, which some writers lack, the caller's connection ends the write.
+		_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+		if _, err := c.w.Write(piece); err != nil {
+			c.logEntry.outcome, c.logEntry.reason = "caller gone", err.Error()
+			return
+		}
 	}
 }
 
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -34,6 +34,9 @@
 	// maxInlineWriteBytes is the size up to which a request fits into the socket buffer of a new
 	// connection, so that writing it does not block.
 	maxInlineWriteBytes = 8 << 10
+	// maxCopiedBodyBytes is the length up to which a body is copied behind the header, so that
+	// both are written at once.
+	maxCopiedBodyBytes = 64 << 10
 	// maxSkippedResponses bounds the informational responses and the responses to earlier
 	// requests that are skipped per exchange, and maxSkippedBytes the body of each.
 	maxSkippedResponses = 2
@@ -316,13 +319,16 @@
 }
 
 // send writes the request. Large requests are written concurrently with reading the response.
-func (c *conn) send(message []byte) <-chan error {
+func (c *conn) send(message []byte, rest []byte) <-chan error {
 	written := make(chan error, 1)
 	write := func() {
 		_, err := c.Write(message)
+		if err == nil && len(rest) > 0 {
+			_, err = c.Write(rest)
+		}
 		written <- err
 	}
-	if len(message) <= maxInlineWriteBytes {
+	if len(message)+len(rest) <= maxInlineWriteBytes {
 		write()
 	} else {
 		go write() // ends no later than when the connection is closed
@@ -358,17 +364,22 @@
 	return nil, errUnexpectedResponse
 }
 
-func (r *Request) encode() []byte {
+// encode returns the request in one part, or with a long body, which is not copied, in two.
+func (r *Request) encode() (message, rest []byte) {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	copied := len(r.Body)
+	if copied > maxCopiedBodyBytes {
+		copied = 0
+	}
+	b.Grow(512 + copied)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // writing to a bytes.Buffer does not fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	b.Write(r.Body[:copied])
+	return b.Bytes(), r.Body[copied:]
 }
 
 func (c *conn) applyKeepAlive(r *http.Response) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 	endpoint  *endpoint
 	mu        sync.Mutex
 	listeners []net.Listener
+	pending   pendingHandshakes
 }
 
 // New returns a server and a client that share their connections: the client also
@@ -82,7 +83,9 @@
 func (s *Server) accept(conn net.Conn) {
 	defer s.endpoint.tasks.Done()
 	defer context.AfterFunc(s.endpoint.ctx, func() { _ = conn.Close() })()
+	s.pending.add(conn)
 	remote, err := acceptHandshake(conn, s.endpoint.options)
+	s.pending.remove(conn)
 	if err != nil {
 		s.endpoint.options.Logger.Info("peer connection refused", "from", conn.RemoteAddr().String(), "error", err.Error())
 		_ = conn.Close()
