--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,6 +15,8 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/discovery"
+	"github.com/rattanscale/rattanscale/internal/duty"
 	"github.com/rattanscale/rattanscale/internal/follow"
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
@@ -42,12 +45,18 @@
 	Engines  func(pool *hop.Pool) gateway.Engines
 	// Store returns a client of the store; it calls count after each call.
 	Store func(address string, count func(call, outcome string)) follow.Store
+	// Hosts returns the table of hosts in a store.
+	Hosts func(follow.Store) discovery.Store
 	// Catalog returns empty mirrored tables. Changes of Operator and Upstreams call publish with
 	// a new catalog.
 	Catalog func(log logr.Logger, publish func(*catalog.Catalog)) Catalog
 	// Directory and Readiness return handlers that answer in the platform's format.
 	Directory func(addresses func(caller string, limit int) (addresses []string, validity time.Duration)) http.Handler
 	Readiness func(ready func() bool) http.Handler
+	// DutyStore returns the rows of duties in a store, and DutyAPI a client of the platform's calls
+	// that only the holder of a duty may make.
+	DutyStore func(store follow.Store) (duty.Store, error)
+	DutyAPI   func(address string) DutyAPI
 }
 
 // Catalog holds the mirrored tables.
@@ -81,10 +90,20 @@
 	// budget gives out the memory for callers, auxiliaryBudget that for requests for the
 	// directory, readiness and metrics, so that callers cannot crowd these out.
 	budget, auxiliaryBudget *membudget.Budget
+	// duties is nil if the settings name none.
+	duties *duties
 
 	startedAt  time.Time
 	fetchSlots chan struct{}
 
+	// sharesBeyondLive is set while more hosts share the limits than this one sees; only the
+	// goroutine of housekeeping uses it.
+	sharesBeyondLive bool
+
+	changedSeeds atomic.Pointer[[]string]
+	// startedGossip is gossip once it runs; the settings may change earlier.
+	startedGossip atomic.Pointer[gossip.Transport]
+
 	// fetches holds the running fetches by table.
 	fetches map[string]*tableFetches
 }
@@ -98,7 +117,7 @@
 	limits := membudget.LimitsFor(s.Limits.MemoryMB, membudget.Descriptors())
 	f.budget = membudget.New(limits, "caller", f.metrics.Set(), log)
 	f.auxiliaryBudget = membudget.New(limits.Auxiliary(), "auxiliary", f.metrics.Set(), log)
-	f.pool = hop.NewPool(f.metrics.RecordConnection)
+	f.pool = hop.NewPool(func(h http.Header) string { return p.Protocol.Response(0, h).ID }, f.metrics.RecordConnection)
 	f.members = gossip.NewTable(gossip.Member{
 		Name: s.Host.Name, Incarnation: time.Now().UnixMilli(), State: gossip.Starting, DataCentre: s.Host.DataCentre,
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer,
@@ -107,8 +126,9 @@
 	f.copyScheduler = newCopyScheduler(f)
 	f.gateway = gateway.New(gateway.Options{
 		PlainPolicy: s.Policy == PolicyPlain, CopyScheduler: f.copyScheduler, OnOutcome: f.rollouts.recordOutcome, AnnounceNotices: f.announce, ScheduleReport: f.sendToAllNextRound, Cell: f.ownCell,
-		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
-		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.liveHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
+		OnRunBegan: f.recordRunBegan,
+		Host:       s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
+		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.sharingHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
 	})
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
 	f.catalog = p.Catalog(log, func(c *catalog.Catalog) {
@@ -119,6 +139,7 @@
 		f.announceReady()
 	})
 	f.store = p.Store(s.Store.Address, f.metrics.RecordStoreCall)
+	f.duties = newDuties(f)
 	f.fetches = lo.SliceToMap(f.tables(), func(t *follow.Table) (string, *tableFetches) { return t.Name(), newTableFetches() })
 	return f
 }
@@ -146,8 +167,8 @@
 	return u.DataCentre, true
 }
 
-// liveHostCount returns the number of live hosts including this one, which share the limits.
-func (f *FrontEnd) liveHostCount() int { return f.members.CountLive(time.Now()) + 1 }
+// sharingHostCount returns the number of hosts, including this one, that share the limits.
+func (f *FrontEnd) sharingHostCount() int { return f.members.SharingHosts(time.Now()) }
 
 // Run serves until ctx ends or a server fails, then drains.
 func (f *FrontEnd) Run(ctx context.Context) error {
@@ -166,6 +187,10 @@
 		return nil
 	})
 	group.Go(func() error { f.runHousekeeping(workCtx); return nil })
+	if f.duties != nil {
+		group.Go(func() error { f.duties.run(workCtx); return nil })
+	}
+	group.Go(func() error { f.runDiscovery(workCtx); return nil })
 	group.Go(func() error { f.gateway.WatchLeavingEngines(workCtx, f.upstreamsAge); return nil })
 	if err := f.serveAuxiliary(workCtx, group); err != nil {
 		return err
@@ -180,6 +205,7 @@
 	case <-workCtx.Done():
 	}
 	f.drain(callers)
+	f.flushUsage()
 	stop()
 	f.pool.Close()
 	err = group.Wait()
@@ -195,6 +221,8 @@
 	f.peerServer, f.peerClient = peer.New(peer.Options{Address: s.Listen.Peer, Key: s.Peers.Key, Logger: f.log, CallTimeout: fetchTimeout})
 	peer.Register(f.peerServer, methodChanges, f.serveChanges)
 	f.copyScheduler.register(f.peerServer)
+	f.registerUsage()
+	f.registerDemand()
 	listener, err := net.Listen("tcp", s.Listen.Peer)
 	if err != nil {
 		return err
@@ -208,9 +236,10 @@
 		return err
 	}
 	f.gossip = &gossip.Transport{
-		Table: f.members, Conn: conn, Seeds: f.seeds(), Compose: f.composeMessage, OnReceived: f.onMessage,
-		LoadsChanged: f.loadTracker.Changed(), LocateUpstream: f.dataCentreOf, Log: f.log,
+		Table: f.members, Conn: conn, Seeds: f.otherSeeds(f.seeds()), Compose: f.composeMessage, OnReceived: f.onMessage,
+		LoadsChanged: f.loadTracker.Changed(), LocateUpstream: f.dataCentreOf, OnUnsent: f.metrics.RecordUnsentGossip, Log: f.log,
 	}
+	f.startedGossip.Store(f.gossip)
 	group.Go(func() error { return f.peerServer.Serve(listener) })
 	group.Go(func() error { f.gossip.Run(ctx); return nil })
 	context.AfterFunc(ctx, func() {
@@ -220,18 +249,6 @@
 	return nil
 }
 
-// isSeed reports whether this host is a seed of the other hosts; without configured seeds every
-// host is one.
-func (f *FrontEnd) isSeed() bool {
-	seeds := f.settings.Peers.Seeds
-	return len(seeds) == 0 || lo.Contains(seeds, f.settings.Listen.Peer)
-}
-
-// seeds returns the peer addresses of the other seed hosts.
-func (f *FrontEnd) seeds() []string {
-	return lo.Without(f.settings.Peers.Seeds, f.settings.Listen.Peer)
-}
-
 func (f *FrontEnd) tables() []*follow.Table {
 	return []*follow.Table{f.catalog.Operator, f.catalog.Upstreams, f.catalog.Statuses}
 }
@@ -239,7 +256,8 @@
 func (f *FrontEnd) composeMessage(m *gossip.Message, full bool) {
 	now := time.Now()
 	if full {
-		m.Evidence = f.rollouts.encodeEvidence()
+		evidence, rest := f.rollouts.encodeEvidence()
+		m.Evidence, m.Sections = evidence, append(f.storedHostsSection(), rest...)
 	}
 	switch m.Content {
 	case gossip.AllLoads:
@@ -269,17 +287,18 @@
 
 // onMessage merges the loads of a peer and fetches table changes that only the peer holds.
 func (f *FrontEnd) onMessage(m gossip.Message, now time.Time) {
-	switch m.Content {
-	case gossip.AllLoads:
-		f.loadTracker.SetPeerReport(m.Self.Name, m.Loads, now)
-	case gossip.ChangedLoads:
-		f.loadTracker.UpdatePeerReport(m.Self.Name, m.Loads, now)
+	f.mergeLoads(m, now)
+	if continues := m.Split != nil && m.Split.Continuation; m.Content == gossip.ChangedLoads && !continues {
 		return
-	case gossip.NoLoads:
-		f.loadTracker.UpdatePeerReport(m.Self.Name, nil, now)
 	}
-	f.rollouts.mergeEvidence(m.Evidence)
-	f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
+	switch {
+	case m.Split == nil:
+		f.gateway.Suspects().SetPeerCounts(m.Self.Name, m.Losses)
+	case m.Split.Losses != nil:
+		f.gateway.Suspects().SetPeerCountsWithin(m.Self.Name, m.Losses, m.Split.Losses.Contains)
+	}
+	f.mergeStoredHosts(m.Sections)
+	f.rollouts.mergeEvidence(m.Evidence, m.Sections)
 	f.gateway.PromptParts().Merge(m.PromptParts, now)
 	f.gateway.MergeNotices(m.Notices)
 	f.gateway.MergeLimits(m.Limits, now)
@@ -301,6 +320,17 @@
 	}
 }
 
+func (f *FrontEnd) mergeLoads(m gossip.Message, now time.Time) {
+	switch {
+	case m.Split != nil && m.Split.Loads != nil:
+		f.loadTracker.SetPeerReportWithin(m.Self.Name, m.Loads, m.Split.Loads.Contains, now)
+	case m.Split == nil && m.Content == gossip.AllLoads:
+		f.loadTracker.SetPeerReport(m.Self.Name, m.Loads, now)
+	default:
+		f.loadTracker.UpdatePeerReport(m.Self.Name, m.Loads, now)
+	}
+}
+
 // mirrorTable reads a table from the store while needed returns true and this host is one of
 // the readers, or while no reader has reached the store recently.
 func (f *FrontEnd) mirrorTable(ctx context.Context, t *follow.Table, minReadInterval time.Duration, needed func() bool) {
@@ -371,6 +401,7 @@
 }
 
 func (f *FrontEnd) housekeepOnce(ctx context.Context, now time.Time) {
+	f.recordHostCounts(now)
 	f.catalog.EvictExpired(now)
 	f.rollouts.evaluate(ctx, now)
 	f.pool.CloseStale(now)
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattanscale/rattanscale/internal/accept"
 	"github.com/rattanscale/rattanscale/internal/gossip"
 	"github.com/rattanscale/rattanscale/internal/membudget"
 )
@@ -44,7 +44,7 @@
 		if address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := accept.Listen("tcp", address, f.log)
 		if err != nil {
 			return err
 		}
@@ -74,7 +74,7 @@
 }
 
 func (f *FrontEnd) serveCallers(group *errgroup.Group) (*http.Server, error) {
-	listener, err := net.Listen("tcp", f.settings.Listen.Caller)
+	listener, err := accept.Listen("tcp", f.settings.Listen.Caller, f.log)
 	if err != nil {
 		return nil, err
 	}
@@ -103,6 +103,7 @@
 	f.members.SetState(gossip.Draining)
 	f.gateway.StartDrain(startedAt.Add(restrictedAdmissionDelay), deadline)
 	f.announce()
+	f.releaseDuties()
 	for time.Now().Before(deadline) {
 		if time.Since(startedAt) >= drainNoticePeriod && f.gateway.ActiveRequests() == 0 {
 			break
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,22 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
 }
 
+// RecordUnsentGossip counts a gossip datagram, or a part of a message, that was not sent.
+func (m *Metrics) RecordUnsentGossip(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gossip_unsent_total{reason=%q}`, reason)).Inc()
+}
+
+// RecordUpstreamOrder counts an order of a number of upstreams.
+func (m *Metrics) RecordUpstreamOrder(reason string, accepted bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_upstream_orders_total{reason=%q,accepted="%t"}`, reason, accepted)).Inc()
+}
+
+// SetHostCounts sets the numbers of live hosts and of hosts that share the limits.
+func (m *Metrics) SetHostCounts(live, sharing int) {
+	m.set.GetOrCreateGauge(`rattanscale_gossip_hosts{counted="live"}`, nil).Set(float64(live))
+	m.set.GetOrCreateGauge(`rattanscale_gossip_hosts{counted="sharing"}`, nil).Set(float64(sharing))
+}
+
 // RecordStatement counts a new statement of an upstream about itself.
 func (m *Metrics) RecordStatement(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_upstream_statements_total{kind=%q}`, kind)).Inc()
