Place streams by measured engine speeds and leave data centres by a plan

Cause: a choice knew slots and memory of an engine, not its speed, so long streams ran on engines on which an event takes longer than callers accept while a prompt is processed during a stall. One constant penalty stood for other data centres: with views 0.5 to 2 s old, data centres swapped requests. Priorities of accounts and routes were read nowhere. A length hint above the stated maximum made engines count as full.

Change: - internal/enginespeed learns each engine's time for a prompt token and for an output token from the streams of all hosts, and the long gaps of a service; one second of measurements of at most 24 engines travels with all loads. - internal/balance adds the risk of a late first event or gap to the cost, where the engines of a service differ; the destinations of moved streams use the same cost. Elsewhere the choice is unchanged. - internal/spill decides four times a second which share of the requests leaves, from the demand of each data centre's callers. - The rank of account or route goes to the engines, where ranks differ. - The expected output is at most the stated maximum. - Settings placement.*, log lines, a metric, the longest gap and the priority in the line of each request; docs/design/ has both notes.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -20,12 +20,12 @@
 // memory in use could start at once.
 func TestPickCountsPendingPromptTokens(t *testing.T) {
 	readingPrompts, generating := newEngineCandidate(2, 8000, 6000), newEngineCandidate(4, 14_000, 0)
-	require.Equal(t, 1, Pick([]Candidate{readingPrompts, generating}, 4000, 1, newSeededRandom()))
+	require.Equal(t, 1, Pick([]Candidate{readingPrompts, generating}, Demand{MemoryTokens: 4000}, 1, 1, newSeededRandom()))
 }
 
 // Guards against engines that are filled beyond their memory while others have capacity.
 func TestPickCountsMemoryInUse(t *testing.T) {
-	require.Equal(t, 1, Pick([]Candidate{newEngineCandidate(1, 28_000, 0), newEngineCandidate(8, 16_000, 0)}, 4000, 1, newSeededRandom()))
+	require.Equal(t, 1, Pick([]Candidate{newEngineCandidate(1, 28_000, 0), newEngineCandidate(8, 16_000, 0)}, Demand{MemoryTokens: 4000}, 1, 1, newSeededRandom()))
 }
 
 // Guards against sending work to failing upstreams while healthy ones exist, and against
@@ -33,11 +33,11 @@
 func TestFailingUpstreamsAreChosenLast(t *testing.T) {
 	failing, lastResort, remote := newEngineCandidate(0, 0, 0), newEngineCandidate(0, 0, 0), newEngineCandidate(20, 25_000, 0)
 	failing.Avoid, lastResort.LastResort, remote.Local = true, true, false
-	require.Equal(t, 2, Pick([]Candidate{failing, lastResort, remote}, 100, 1, newSeededRandom()))
-	require.Equal(t, 2, Pick([]Candidate{failing, lastResort, remote}, 100, 60, newSeededRandom()))
-	require.Equal(t, 0, Pick([]Candidate{failing, lastResort}, 100, 60, newSeededRandom()))
-	require.Equal(t, 0, Pick([]Candidate{lastResort}, 100, 1, newSeededRandom()))
-	require.Equal(t, -1, Pick(nil, 100, 1, newSeededRandom()))
+	require.Equal(t, 2, Pick([]Candidate{failing, lastResort, remote}, Demand{MemoryTokens: 100}, 1, 1, newSeededRandom()))
+	require.Equal(t, 2, Pick([]Candidate{failing, lastResort, remote}, Demand{MemoryTokens: 100}, 60, 1, newSeededRandom()))
+	require.Equal(t, 0, Pick([]Candidate{failing, lastResort}, Demand{MemoryTokens: 100}, 60, 1, newSeededRandom()))
+	require.Equal(t, 0, Pick([]Candidate{lastResort}, Demand{MemoryTokens: 100}, 1, 1, newSeededRandom()))
+	require.Equal(t, -1, Pick(nil, Demand{MemoryTokens: 100}, 1, 1, newSeededRandom()))
 }
 
 // Guards against many hosts with the same view that all choose the same upstream: 60
@@ -49,7 +49,7 @@
 	}
 	random, chosen := newSeededRandom(), map[int]int{}
 	for range 60 {
-		chosen[Pick(candidates, 4000, 60, random)]++
+		chosen[Pick(candidates, Demand{MemoryTokens: 4000}, 60, 1, random)]++
 	}
 	for i, n := range chosen {
 		require.Less(t, n, 12, "engine %d", i)
--- a/internal/balance/full_engines_test.go
+++ b/internal/balance/full_engines_test.go
@@ -66,7 +66,7 @@
 			for i, v := range trackers[host].Views(ids, now) {
 				candidates[i] = Candidate{View: v, Local: true, Slots: 24, MemoryTokens: capacity}
 			}
-			best := Pick(candidates, tokens, hosts, random)
+			best := Pick(candidates, Demand{MemoryTokens: tokens}, hosts, 1, random)
 			anyHasRoom := false
 			for _, h := range heldTokens {
 				anyHasRoom = anyHasRoom || h+tokens <= capacity
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 )
 
 // View is what a host knows of an upstream when it chooses one.
@@ -29,11 +31,15 @@
 	MemoryTokens int
 	// LastResort candidates are chosen only if there are no others.
 	LastResort bool
+	// Speed is the speed of the engine. It is unknown if the engines of the service do not
+	// differ.
+	Speed enginespeed.Speed
 }
 
 const (
 	// remotePenalty is how much higher the load of a local upstream may be, as a share
-	// of capacity, before one in another data centre is preferred.
+	// of capacity, before one in another data centre is preferred. It counts where no plan
+	// decides which requests leave, or where the chosen data centre has no room.
 	remotePenalty = 0.30
 	// errorPenalty is the load, as a share of capacity, added to an upstream that always
 	// fails.
@@ -42,8 +48,8 @@
 	avoidPenalty = 100.0
 	// lastResortPenalty ranks candidates of last resort behind avoided ones.
 	lastResortPenalty = 1000.0
-	// pendingPromptScale is the number of prompt tokens that an engine processes in
-	// about a second while it generates; a new prompt waits for those before it.
+	// pendingPromptScale is the number of prompt tokens that an engine of unknown speed
+	// processes in about a second while it generates; a new prompt waits for those before it.
 	pendingPromptScale = 7000
 	// sampleAboveHosts is the number of hosts above which a choice is made among a
 	// random sample: with many hosts and outdated views, all would choose the same least
@@ -51,6 +57,8 @@
 	sampleAboveHosts = 16
 	// sampleSize is compared with other sizes in docs/decisions/front-end.md.
 	sampleSize = 6
+	// minPartSample is the smallest sample of a part of the upstreams.
+	minPartSample = 2
 	// preselectionSize is the number of random upstreams from which the sample is drawn.
 	// It holds four samples, so that one with capacity is found unless most engines are
 	// full.
@@ -76,10 +84,9 @@
 	return max(bySlots, float64(c.Load.Tokens+tokens)/float64(c.MemoryTokens))
 }
 
-// cost ranks the candidate for a request that holds the given tokens of memory; lower is
-// better.
-func (c *Candidate) cost(tokens int) float64 {
-	cost := c.projectedUtilisation(tokens) + float64(c.Load.PendingPromptTokens)/pendingPromptScale + c.ErrorShare*errorPenalty
+// Cost ranks the candidate for a request; lower is better.
+func (c *Candidate) Cost(d Demand) float64 {
+	cost := c.projectedUtilisation(d.MemoryTokens) + c.waitCost(d) + c.ErrorShare*errorPenalty
 	if !c.Local {
 		cost += remotePenalty
 	}
@@ -92,17 +99,19 @@
 	return cost
 }
 
-// Pick returns the index of the candidate with the lowest cost for a request that holds
-// the given tokens of memory, or -1 without candidates. Ties are broken at random. With
-// many hosts it chooses among a random sample.
-func Pick(candidates []Candidate, tokens, hosts int, random *rand.Rand) int {
+// Pick returns the index of the candidate with the lowest cost for a request, or -1 without
+// candidates. Ties are broken at random. With many hosts it chooses among a random sample. Part is
+// the share of the service's upstreams that the candidates are taken from, for example those of one
+// data centre; the sample is smaller by it, since hosts with outdated views would otherwise choose
+// the same upstreams of the part.
+func Pick(candidates []Candidate, d Demand, hosts int, part float64, random *rand.Rand) int {
 	order := random.Perm(len(candidates))
 	if hosts > sampleAboveHosts {
-		order = sampleUsable(candidates, order, tokens)
+		order = sampleUsable(candidates, order, d, max(int(math.Round(part*sampleSize)), minPartSample))
 	}
 	best, lowestCost := -1, 0.0
 	for _, i := range order {
-		if cost := candidates[i].cost(tokens); best < 0 || cost < lowestCost {
+		if cost := candidates[i].Cost(d); best < 0 || cost < lowestCost {
 			best, lowestCost = i, cost
 		}
 	}
@@ -123,10 +132,10 @@
 
 // sampleUsable returns the first candidates in the given order that are neither avoided
 // nor a last resort, or the whole order if there are none. The sample grows until it
-// holds a candidate with capacity: if most engines are full, a sample of fixed size
-// would often hold only full ones.
-func sampleUsable(candidates []Candidate, order []int, tokens int) []int {
-	sample := make([]int, 0, sampleSize)
+// holds a candidate with capacity on which the request is not expected to be late: if most
+// engines are full or slow, a sample of fixed size would often hold only such ones.
+func sampleUsable(candidates []Candidate, order []int, d Demand, size int) []int {
+	sample := make([]int, 0, size)
 	foundRoom := false
 	for _, i := range order {
 		c := &candidates[i]
@@ -134,8 +143,8 @@
 			continue
 		}
 		sample = append(sample, i)
-		foundRoom = foundRoom || c.projectedUtilisation(tokens) <= 1
-		if foundRoom && len(sample) >= sampleSize {
+		foundRoom = foundRoom || ServesInTime(*c, d)
+		if foundRoom && len(sample) >= size {
 			break
 		}
 	}
@@ -145,6 +154,12 @@
 	return sample
 }
 
+// ServesInTime reports whether the candidate has capacity for a request, and is not likely to serve
+// it late as far as its speed is known.
+func ServesInTime(c Candidate, d Demand) bool {
+	return c.projectedUtilisation(d.MemoryTokens) <= 1 && c.risk(d) < likelyLate
+}
+
 // Overloaded reports whether a request that holds the given tokens of memory would use more than
 // the given share of the candidate's capacity.
 func Overloaded(c Candidate, tokens int, share float64) bool {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,7 +45,9 @@
 	MaxAttempts int
 	// Public routes accept requests without an API key.
 	Public bool
-	Split  []ServiceShare
+	// Priority ranks the requests of the route.
+	Priority Priority
+	Split    []ServiceShare
 }
 
 // Idempotent reports whether a request on the route may run more than once.
@@ -91,6 +93,8 @@
 type Account struct {
 	Name string
 	Keys []string
+	// Priority, if it is stated, takes precedence over that of the route.
+	Priority Priority
 }
 
 // Limits bounds the size and the duration of callers' requests.
@@ -110,6 +114,8 @@
 	Accounts []Account
 	Limits   Limits
 
+	// rankedServices holds the services whose requests differ in priority.
+	rankedServices   map[string]bool
 	routesByHostName map[string][]*Route
 	accountsByKey    map[string]*Account
 	servicesByName   map[string]*Service
@@ -133,6 +139,7 @@
 	for i := range c.Services {
 		c.servicesByName[c.Services[i].Name] = &c.Services[i]
 	}
+	c.indexPriorities()
 }
 
 // Route returns the route with the longest prefix that matches the path, or nil. A port
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 	"github.com/rattanscale/rattanscale/internal/follow"
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
@@ -65,12 +66,15 @@
 
 // FrontEnd is one front-end process.
 type FrontEnd struct {
-	settings      *Settings
-	platform      Platform
-	log           logr.Logger
-	metrics       *gateway.Metrics
-	pool          *hop.Pool
-	loadTracker   *balance.Tracker
+	settings    *Settings
+	platform    Platform
+	log         logr.Logger
+	metrics     *gateway.Metrics
+	pool        *hop.Pool
+	loadTracker *balance.Tracker
+	// speeds is nil if the speeds of engines are not measured.
+	speeds        *enginespeed.Table
+	leaving       *leaving
 	gateway       *gateway.Gateway
 	catalog       Catalog
 	store         follow.Store
@@ -94,17 +98,20 @@
 		settings: s, platform: p, log: log, metrics: gateway.NewMetrics(), loadTracker: balance.NewTracker(),
 		startedAt: time.Now(), fetchSlots: make(chan struct{}, maxServedFetches),
 	}
+	if s.Placement.EngineSpeeds {
+		f.speeds = enginespeed.NewTable()
+	}
 	f.pool = hop.NewPool(f.metrics.RecordConnection)
 	f.members = gossip.NewTable(gossip.Member{
 		Name: s.Host.Name, Incarnation: time.Now().UnixMilli(), State: gossip.Starting, DataCentre: s.Host.DataCentre,
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer,
 	})
-	f.rollouts = newRollouts(f)
+	f.rollouts, f.leaving = newRollouts(f), newLeaving()
 	f.copyScheduler = newCopyScheduler(f)
 	f.gateway = gateway.New(gateway.Options{
 		PlainPolicy: s.Policy == PolicyPlain, CopyScheduler: f.copyScheduler, OnOutcome: f.rollouts.recordOutcome, AnnounceNotices: f.announce, ScheduleReport: f.sendToAllNextRound, Cell: f.ownCell,
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
-		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.liveHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
+		Pool: f.pool, LoadTracker: f.loadTracker, Speeds: f.speeds, Priorities: s.Placement.Priorities, HostCount: f.liveHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
 	})
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
 	f.catalog = p.Catalog(log, func(c *catalog.Catalog) {
@@ -240,6 +247,7 @@
 	switch m.Content {
 	case gossip.AllLoads:
 		m.Loads = f.loadTracker.OwnLoads()
+		m.Speeds = f.ownSpeeds(now)
 	case gossip.ChangedLoads:
 		m.Loads = f.loadTracker.TakeChanges()
 		return
@@ -268,6 +276,7 @@
 	switch m.Content {
 	case gossip.AllLoads:
 		f.loadTracker.SetPeerReport(m.Self.Name, m.Loads, now)
+		f.mergeSpeeds(m, now)
 	case gossip.ChangedLoads:
 		f.loadTracker.UpdatePeerReport(m.Self.Name, m.Loads, now)
 		return
@@ -374,6 +383,8 @@
 	f.gateway.PromptParts().Evict(now)
 	f.gateway.EvictBackOffs(now)
 	f.gateway.Limits().Evict(now)
+	f.refreshSpeeds(now)
+	f.updateLeaving(now)
 	upstreams := f.gateway.Catalog().Upstreams
 	f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
 }
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -27,6 +27,8 @@
 	Policy string `yaml:"policy" validate:"oneof=adaptive plain"`
 	// Directory configures the responses that list the hosts for callers.
 	Directory Directory `yaml:"directory"`
+	// Placement configures the choice of an upstream.
+	Placement Placement `yaml:"placement"`
 }
 
 // Listen holds the addresses, as IP and port, that the front end serves.
@@ -90,6 +92,21 @@
 	Validity time.Duration `yaml:"validity" validate:"gte=1s,lte=1m"`
 }
 
+// Placement configures the choice of an upstream.
+type Placement struct {
+	// EngineSpeeds makes the choice depend on the measured speed of engines, where the engines of
+	// a service differ.
+	EngineSpeeds bool `yaml:"engine-speeds"`
+	// Priorities makes engines process requests in the order of the priorities that the
+	// configuration states, where those of a service's requests differ.
+	Priorities bool `yaml:"priorities"`
+	// DataCentrePlan makes requests leave a data centre by the demand of all, instead of by the
+	// load of single engines.
+	DataCentrePlan bool `yaml:"data-centre-plan"`
+	// DataCentreRoundTrip is the time between two data centres and back.
+	DataCentreRoundTrip time.Duration `yaml:"data-centre-round-trip" validate:"gte=0,lte=1s"`
+}
+
 // The values of Settings.Policy.
 const (
 	PolicyAdaptive = "adaptive"
@@ -109,6 +126,7 @@
 		Drain:     Drain{Limit: 8 * time.Second},
 		Rollout:   RolloutBounds{Share: 0.1, Slack: 50},
 		Directory: Directory{Validity: 2 * time.Second},
+		Placement: Placement{EngineSpeeds: true, Priorities: true, DataCentrePlan: true, DataCentreRoundTrip: 2 * time.Millisecond},
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,15 +11,14 @@
 	"github.com/rattanscale/rattanscale/internal/retry"
 )
 
-// chooseUpstream selects an upstream for a request that is expected to hold the given
-// tokens of memory, or returns nil. A request of a version on trial runs on another
-// version if no upstream of its own has capacity.
-func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, request string, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
+// chooseUpstream selects an upstream for a request, or returns nil. A request of a version on
+// trial runs on another version if no upstream of its own has capacity.
+func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, request string, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
 	versionAllowed, onTrial := g.allowedVersions(service.Name, request)
-	u := g.chooseOfVersion(cat, service, versionAllowed, tokens, triedUpstreams, now)
-	if onTrial && (u == nil || !g.hasRoom(u, service, tokens, now)) {
+	u := g.chooseOfVersion(cat, service, versionAllowed, demand, triedUpstreams, now)
+	if onTrial && (u == nil || !g.hasRoom(u, service, demand.MemoryTokens, now)) {
 		otherVersion := func(version string) bool { return !versionAllowed(version) }
-		if other := g.chooseOfVersion(cat, service, otherVersion, tokens, triedUpstreams, now); other != nil {
+		if other := g.chooseOfVersion(cat, service, otherVersion, demand, triedUpstreams, now); other != nil {
 			return other
 		}
 	}
@@ -27,10 +26,10 @@
 }
 
 // chooseOfVersion selects an upstream of the allowed versions. It considers, in this
-// order: healthy engines of this host's cell, if the site is divided into cells; a random
+// order: engines of the data centre to which the plan sends the request; healthy engines of this host's cell, if the site is divided into cells; a random
 // part of the healthy upstreams, if there are many hosts; all upstreams. The plain policy
 // always considers all.
-func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
+func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
 	mayReceive := cat.Usable
 	if g.backOffs.count.Load() > 0 {
 		mayReceive = func(u *catalog.Upstream) bool { return g.mayReceive(cat, u, now) }
@@ -42,21 +41,27 @@
 	isHealthy := func(u *catalog.Upstream) bool {
 		return !u.Expired && isUsable(u) && !g.LoadTracker.IsAvoided(u.ID, now)
 	}
+	if dataCentre, part, planned := g.drawDataCentre(service); planned {
+		there := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return u.DataCentre == dataCentre && isHealthy(u) })
+		if u := g.chooseAmongPart(there, part, service, demand, hosts, now); u != nil && g.servesInTime(u, service, demand, now) {
+			return u
+		}
+	}
 	// Plain upstreams are few and their requests are short, so all hosts share them.
 	if inOwnCell, divided := g.Cell(); divided && service.Engine != nil && !g.PlainPolicy {
 		cellUpstreams := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return inOwnCell(u.DataCentre, u.ID) && isHealthy(u) })
-		if u := g.chooseAmong(cellUpstreams, service, tokens, hosts, now); u != nil && g.hasRoom(u, service, tokens, now) {
+		if u := g.chooseAmong(cellUpstreams, service, demand, hosts, now); u != nil && g.hasRoom(u, service, demand.MemoryTokens, now) {
 			return u
 		}
 	}
 	if limit := balance.PreselectionSize(hosts); len(upstreams) > limit && !g.PlainPolicy {
 		if preselected := g.preselect(upstreams, limit, isHealthy); len(preselected) == limit {
-			if u := g.chooseAmong(preselected, service, tokens, hosts, now); u != nil {
+			if u := g.chooseAmong(preselected, service, demand, hosts, now); u != nil {
 				return u
 			}
 		}
 	}
-	return g.chooseAmong(lo.Filter(upstreams, func(u *catalog.Upstream, _ int) bool { return isUsable(u) }), service, tokens, hosts, now)
+	return g.chooseAmong(lo.Filter(upstreams, func(u *catalog.Upstream, _ int) bool { return isUsable(u) }), service, demand, hosts, now)
 }
 
 // hasRoom reports whether the upstream has capacity for the request.
@@ -65,6 +70,13 @@
 	return !balance.AllFull([]balance.Candidate{c}, tokens)
 }
 
+// servesInTime reports whether the upstream has capacity for the request and is not expected to
+// serve it late.
+func (g *Gateway) servesInTime(u *catalog.Upstream, service *catalog.Service, demand balance.Demand, now time.Time) bool {
+	c := g.newCandidate(u, service, g.LoadTracker.Views([]string{u.ID}, now)[0])
+	return balance.ServesInTime(c, demand)
+}
+
 // preselect returns up to limit eligible upstreams, starting at a random position so
 // that hosts select different ones.
 func (g *Gateway) preselect(all []*catalog.Upstream, limit int, isEligible func(*catalog.Upstream) bool) []*catalog.Upstream {
@@ -90,13 +102,18 @@
 
 // chooseAmong picks the upstream with the lowest cost, skipping cold ones and ones that limit
 // their requests if this host's share of the rate is used up. It modifies candidates.
-func (g *Gateway) chooseAmong(candidates []*catalog.Upstream, service *catalog.Service, tokens, hosts int, now time.Time) *catalog.Upstream {
+func (g *Gateway) chooseAmong(candidates []*catalog.Upstream, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
+	return g.chooseAmongPart(candidates, 1, service, demand, hosts, now)
+}
+
+// chooseAmongPart is chooseAmong for candidates that are a part of the service's upstreams.
+func (g *Gateway) chooseAmongPart(candidates []*catalog.Upstream, part float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
 	skippedLimited := false
 	for len(candidates) > 0 {
 		balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
 		g.randomMu.Lock()
-		best := balance.Pick(balanceCandidates, tokens, hosts, g.random)
+		best := balance.Pick(balanceCandidates, demand, hosts, part, g.random)
 		if g.PlainPolicy {
 			best = balance.PickFewestRequests(views, g.random)
 		}
@@ -104,7 +121,7 @@
 		u := candidates[best]
 		cold := service.ColdRate > 0 && now.Before(u.ColdUntil)
 		switch {
-		case skippedLimited && balance.Overloaded(balanceCandidates[best], tokens, maxShareBesideLimits):
+		case skippedLimited && balance.Overloaded(balanceCandidates[best], demand.MemoryTokens, maxShareBesideLimits):
 			return nil
 		case cold && !g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now):
 		case !g.takeFromLimit(u, now):
@@ -142,6 +159,7 @@
 		if c.Slots == 0 {
 			c.Slots = service.Engine.Slots
 		}
+		c.Speed = g.speedOf(u)
 	}
 	return c
 }
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -46,7 +46,7 @@
 			})
 			for i := range 100 {
 				// A cold engine may be chosen too, since its rate is low but not zero.
-				u := g.chooseUpstream(g.Catalog(), service, fmt.Sprint(i), 1000, nil, now)
+				u := g.chooseUpstream(g.Catalog(), service, fmt.Sprint(i), balance.Demand{MemoryTokens: 1000}, nil, now)
 				require.NotNil(t, u)
 				if name != "others are cold" {
 					require.Equal(t, fmt.Sprintf("engine-%04d", usableEngine), u.ID)
@@ -60,7 +60,7 @@
 			g.LoadTracker.RecordFailure(fmt.Sprintf("engine-%04d", i), now)
 		}
 	}
-	require.Equal(t, fmt.Sprintf("engine-%04d", usableEngine), g.chooseUpstream(g.Catalog(), service, "r", 1000, nil, now).ID, "others have failed")
+	require.Equal(t, fmt.Sprintf("engine-%04d", usableEngine), g.chooseUpstream(g.Catalog(), service, "r", balance.Demand{MemoryTokens: 1000}, nil, now).ID, "others have failed")
 }
 
 // Guards against hosts that preselect the same engines and overload them: 90 hosts
@@ -69,7 +69,7 @@
 	chosen := map[string]int{}
 	for range 90 {
 		g, service := newManyEngineGateway(200, func(int, *catalog.Upstream) {})
-		chosen[g.chooseUpstream(g.Catalog(), service, "r", 1000, nil, time.Now()).ID]++
+		chosen[g.chooseUpstream(g.Catalog(), service, "r", balance.Demand{MemoryTokens: 1000}, nil, time.Now()).ID]++
 	}
 	for id, n := range chosen {
 		require.LessOrEqual(t, n, 9, id) // a tenth of the hosts
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,9 +15,11 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
+	"github.com/rattanscale/rattanscale/internal/spill"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
 
@@ -41,6 +43,10 @@
 	Engines     Engines
 	Pool        *hop.Pool
 	LoadTracker *balance.Tracker
+	// Priorities makes engines process requests in the order of their priority.
+	Priorities bool
+	// Speeds holds the speeds of engines; nil does not measure them.
+	Speeds *enginespeed.Table
 	// CopyScheduler schedules the copies of all hosts between the engines of a data
 	// centre.
 	CopyScheduler CopyScheduler
@@ -86,6 +92,7 @@
 	notices          notices
 
 	versionRules atomic.Pointer[map[string]catalog.VersionRule]
+	leavePlans   atomic.Pointer[map[string]spill.Plan]
 	retryLimiter *retry.WindowLimiter
 	suspects     *Suspects
 	promptParts  *promptparts.Table
@@ -157,6 +164,9 @@
 // SetVersionRules replaces the rules that divide requests between versions, by service.
 func (g *Gateway) SetVersionRules(rules map[string]catalog.VersionRule) { g.versionRules.Store(&rules) }
 
+// SetLeavePlans replaces the plans by which requests leave the data centre, by service.
+func (g *Gateway) SetLeavePlans(plans map[string]spill.Plan) { g.leavePlans.Store(&plans) }
+
 // StartDrain makes the gateway refuse requests that are not expected to finish before
 // end. From strictFrom on, when callers know that the host is leaving, it accepts only
 // requests that are certain to finish in time, because another host can serve the rest.
@@ -175,7 +185,9 @@
 	route   *catalog.Route
 	service *catalog.Service
 	account string
-	body    []byte
+	// priority is not stated if all requests to the service have the same.
+	priority catalog.Priority
+	body     []byte
 
 	startedAt time.Time
 	deadline  time.Time
@@ -235,7 +247,8 @@
 		c.fail(http.StatusNotFound, "no route matches")
 		return false
 	}
-	if account := configuration.Account(c.info.Key); account != nil {
+	account := configuration.Account(c.info.Key)
+	if account != nil {
 		c.account = account.Name
 	} else if configuration.AuthRequired() && !c.route.Public {
 		c.fail(http.StatusUnauthorized, "the key is unknown")
@@ -256,6 +269,9 @@
 		c.refuse("the route has no service", startingRetryAfter)
 		return false
 	}
+	if c.service.Engine != nil && c.g.Priorities {
+		c.priority = configuration.PriorityOf(c.route, account, c.service.Name)
+	}
 	return true
 }
 
@@ -377,12 +393,17 @@
 	return period != nil && !c.endsBeforeDrain(period, now)
 }
 
-// expectedOutputTokens estimates the output length of a generation.
+// expectedOutputTokens estimates the output length of a generation. A hint may be far off, but the
+// output does not exceed the stated maximum.
 func (c *call) expectedOutputTokens() int {
-	if c.info.LengthHint > 0 {
+	switch {
+	case c.info.LengthHint > 0 && c.info.MaxOutputTokens > 0:
+		return min(c.info.LengthHint, c.info.MaxOutputTokens)
+	case c.info.LengthHint > 0:
 		return c.info.LengthHint
+	default:
+		return c.info.MaxOutputTokens / 2
 	}
-	return c.info.MaxOutputTokens / 2
 }
 
 // expectedMemoryTokens is the memory, in tokens, that a generation is expected to hold
@@ -391,7 +412,7 @@
 
 // chooseUpstream selects an upstream that has not been tried yet, or returns nil.
 func (c *call) chooseUpstream(now time.Time) *catalog.Upstream {
-	return c.g.chooseUpstream(c.g.Catalog(), c.service, c.info.ID, c.expectedMemoryTokens(), c.triedUpstreams, now)
+	return c.g.chooseUpstream(c.g.Catalog(), c.service, c.info.ID, c.demand(), c.triedUpstreams, now)
 }
 
 // maySend reports whether the limits of the request and of the service allow one more
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`rattanscale_gateway_request_seconds{kind=%q}`, kind)).Update(duration.Seconds())
 }
 
+// RecordPriority counts a request whose priority is stated.
+func (m *Metrics) RecordPriority(rank int, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_priority_requests_total{priority="%d",outcome=%q}`, rank, outcome)).Inc()
+}
+
 // RecordMigration records a migration with the duration of its first copy and the pause
 // of the stream.
 func (m *Metrics) RecordMigration(succeeded bool, copyTime, pauseTime time.Duration) {
--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -298,16 +299,24 @@
 }
 
 // destinationsAmong returns the given engines that have room for the stream, the one
-// with the most free memory first.
+// with the most free memory first. If their speeds are known, the one that is expected to serve
+// the rest of the stream best comes first.
 func (g *Gateway) destinationsAmong(ids []string, s *stream, cat *catalog.Catalog, service *catalog.Service) []migration.Destination {
 	var out []migration.Destination
+	costs, demand, speedsKnown := make(map[string]float64), s.call.remainingDemand(s), false
 	for i, v := range g.LoadTracker.Views(ids, time.Now()) {
 		c := g.newCandidate(cat.Upstreams[ids[i]], service, v)
 		free := int(migrationOvercommit*float64(c.MemoryTokens)) - c.Load.Tokens
 		if !c.Avoid && c.Load.Requests < c.Slots && free >= s.call.expectedMemoryTokens() {
 			out = append(out, migration.Destination{Engine: ids[i], FreeTokens: free})
+			costs[ids[i]], speedsKnown = c.Cost(demand), speedsKnown || c.Speed.Known()
 		}
 	}
-	slices.SortFunc(out, func(a, b migration.Destination) int { return b.FreeTokens - a.FreeTokens })
+	slices.SortFunc(out, func(a, b migration.Destination) int {
+		if speedsKnown {
+			return cmp.Compare(costs[a.Engine], costs[b.Engine])
+		}
+		return b.FreeTokens - a.FreeTokens
+	})
 	return out
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -46,9 +46,21 @@
 	outcome          string
 	reason           string
 	timeToFirstEvent time.Duration
-	events           int
-	migrations       int
-	upstream         string
+	// lastEventAt is when the last event of a stream was passed on, longestGap the longest time
+	// between two.
+	lastEventAt time.Time
+	longestGap  time.Duration
+	events      int
+	migrations  int
+	upstream    string
+}
+
+// recordEvent records an event of a stream.
+func (e *logEntry) recordEvent(now time.Time) {
+	if !e.lastEventAt.IsZero() {
+		e.longestGap = max(e.longestGap, now.Sub(e.lastEventAt))
+	}
+	e.lastEventAt = now
 }
 
 // logRequest writes the log line and the metrics of the request.
@@ -65,14 +77,20 @@
 		fields = append(fields, "route", c.route.Name, "time-ms", c.deadline.Sub(c.startedAt).Milliseconds(),
 			"configuration", c.catalog.Configuration.Version, "upstreams-revision", c.catalog.UpstreamsRevision)
 	}
+	if rank, stated := c.priority.Rank(); stated {
+		fields = append(fields, "priority", rank)
+	}
 	if e.reason != "" {
 		fields = append(fields, "reason", e.reason)
 	}
 	if e.events > 0 {
-		fields = append(fields, "first-event-ms", e.timeToFirstEvent.Milliseconds(), "events", e.events, "moves", e.migrations)
+		fields = append(fields, "first-event-ms", e.timeToFirstEvent.Milliseconds(), "events", e.events, "moves", e.migrations, "longest-gap-ms", e.longestGap.Milliseconds())
 	}
 	c.g.Log.Info("request ended", fields...)
 	c.g.Metrics.RecordRequest(kind, e.outcome, duration)
+	if rank, stated := c.priority.Rank(); stated {
+		c.g.Metrics.RecordPriority(rank, e.outcome)
+	}
 }
 
 func routeKindName(k catalog.RouteKind) string {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -128,7 +128,7 @@
 // the caller must close the response.
 func (c *call) dispatch(u *catalog.Upstream, d Dispatch) (*hop.Response, exchangeResult, error) {
 	now := time.Now()
-	d.Upstream, d.Account, d.Remaining = u, c.account, c.remaining(now)
+	d.Upstream, d.Account, d.Priority, d.Remaining = u, c.account, c.priority, c.remaining(now)
 	c.sends++
 	c.startRun(u, d)
 	c.logEntry.upstream = u.ID
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -46,6 +46,8 @@
 	Remaining time.Duration
 	// ResumeAfter replaces the caller's last event; "" keeps it.
 	ResumeAfter string
+	// Priority tells the engine which requests go first.
+	Priority catalog.Priority
 	// CopyName identifies a copy of the run's memory from which the request continues;
 	// "" starts a new run.
 	CopyName string
--- a/internal/gateway/runreport.go
+++ b/internal/gateway/runreport.go
@@ -20,8 +20,13 @@
 	sentAt   time.Time
 	// partial is set if the run continues another one, whose times it must not be compared
 	// with.
-	partial          bool
-	events           int
+	partial bool
+	events  int
+	// pendingPromptTokens are the prompt tokens that the engine has to process before the first
+	// event.
+	pendingPromptTokens int
+	// waitingSince is when this host was ready for the next event.
+	waitingSince     time.Time
 	firstEventAt     time.Time
 	lastEventAt      time.Time
 	intervalReported bool
@@ -29,16 +34,24 @@
 
 // startRun begins the report of a run.
 func (c *call) startRun(u *catalog.Upstream, d Dispatch) {
-	c.run = &runReport{call: c, upstream: u, sentAt: time.Now(), partial: d.CopyName != "" || d.ResumeAfter != ""}
+	now := time.Now()
+	c.run = &runReport{call: c, upstream: u, sentAt: now, partial: d.CopyName != "" || d.ResumeAfter != ""}
+	if c.g.Speeds != nil && c.info.PromptTokens > 0 {
+		c.run.pendingPromptTokens = c.g.LoadTracker.Views([]string{u.ID}, now)[0].Load.PendingPromptTokens
+	}
 }
 
 // recordEvent records an event of a stream.
 func (r *runReport) recordEvent(now time.Time) {
 	r.events++
+	if r.events > 1 {
+		r.measureEventGap(r.lastEventAt, now)
+	}
 	r.lastEventAt = now
 	switch r.events {
 	case 1:
 		r.firstEventAt = now
+		r.measureFirstEvent(now)
 		r.send(Outcome{Running: true, TimeToFirst: now.Sub(r.sentAt)})
 	case beginningEvents + 1:
 		r.call.recordAnswer(now)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -283,7 +283,9 @@
 		}
 		c.logEntry.events++
 		if e.hasData {
-			c.run.recordEvent(time.Now())
+			now := time.Now()
+			c.run.recordEvent(now)
+			c.logEntry.recordEvent(now)
 		}
 		c.markPromptProcessed(u)
 		if e.hasData { // comments do not show that the run goes on
@@ -299,6 +301,7 @@
 				c.abortCallerGone()
 			}
 		}
+		c.run.waitingSince = time.Now()
 	}
 }
 
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
@@ -92,6 +93,8 @@
 	PromptParts promptparts.Report `msgpack:"-"`
 	// Limits is what upstreams said to the sender about the requests per second they take.
 	Limits []upstreamlimit.Statement `msgpack:"-"`
+	// Speeds is what the sender has measured of the speed of engines; only set with all loads.
+	Speeds enginespeed.Report `msgpack:"-"`
 	// WantsAddresses asks the receiver for the members of its cell with their addresses.
 	WantsAddresses bool `msgpack:"-"`
 }
--- a/internal/gossip/version_test.go
+++ b/internal/gossip/version_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
@@ -67,6 +68,7 @@
 	require.NoError(t, err)
 	require.Equal(t, sent, again)
 	sent.PromptParts = promptparts.Report{Crashes: []promptparts.Crash{{Part: 5, Engine: 6, Age: 7}}, Answers: []promptparts.Answer{{Part: 8, Age: 9}}}
+	sent.Speeds = enginespeed.Report{Period: 3, Engines: []enginespeed.Measured{{Engine: "i-3", Incarnation: 5, Figures: enginespeed.Figures{OutputTokens: 4, OutputSeconds: 0.5}}}}
 	extended, err := sent.encode()
 	require.NoError(t, err)
 	again, err = decodeMessage(extended)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -36,15 +36,19 @@
 	}
 	err := encoder.Encode(&e)
 	hasParts, hasLimits := len(m.PromptParts.Crashes)+len(m.PromptParts.Answers) > 0, len(m.Limits) > 0
-	if err == nil && (m.WantsAddresses || hasParts || hasLimits) {
+	hasSpeeds := len(m.Speeds.Engines) > 0
+	if err == nil && (m.WantsAddresses || hasParts || hasLimits || hasSpeeds) {
 		err = encoder.Encode(&requests{Addresses: m.WantsAddresses})
 	}
-	if err == nil && (hasParts || hasLimits) {
+	if err == nil && (hasParts || hasLimits || hasSpeeds) {
 		err = encoder.Encode(&m.PromptParts)
 	}
-	if err == nil && hasLimits {
+	if err == nil && (hasLimits || hasSpeeds) {
 		err = encoder.Encode(m.Limits)
 	}
+	if err == nil && hasSpeeds {
+		err = encoder.Encode(&m.Speeds)
+	}
 	return data.Bytes(), err
 }
 
@@ -68,6 +72,9 @@
 	if err := decoder.Decode(&m.Limits); err != nil && !errors.Is(err, io.EOF) {
 		return m, err
 	}
+	if err := decoder.Decode(&m.Speeds); err != nil && !errors.Is(err, io.EOF) {
+		return m, err
+	}
 	m.Notices, m.WantsAddresses = e.Notices, r.Addresses
 	for i := range min(len(e.MemberAges), len(m.Others)) {
 		m.Others[i].Age = e.MemberAges[i]
