--- a/internal/enginespeed/estimates.go
+++ b/internal/enginespeed/estimates.go
@@ -58,6 +58,9 @@
 // Compared returns how the engines of a service compare.
 func (e *Estimates) Compared(service string) Comparison { return e.comparisons[service] }
 
+// Comparisons returns how the engines compare, by service. The map must not be modified.
+func (e *Estimates) Comparisons() map[string]Comparison { return e.comparisons }
+
 // Of returns the speed of an engine, that of its service's mean if nothing was measured on it.
 func (e *Estimates) Of(service, engine string) Speed {
 	if s, ok := e.speeds[engine]; ok {
--- a/internal/frontend/leaving.go
+++ b/internal/frontend/leaving.go
@@ -62,7 +62,7 @@
 		}
 		plan := controller.Update(f.settings.Host.DataCentre, dataCentres, tolerable, now)
 		plans[service.Name] = plan
-		f.logPlan(service.Name, plan)
+		f.reportPlan(service.Name, plan)
 	}
 	maps.DeleteFunc(f.leaving.controllers, func(service string, _ *spill.Controller) bool { return !lo.HasKey(plans, service) })
 	f.gateway.SetLeavePlans(plans)
@@ -125,9 +125,10 @@
 	return used / capacity
 }
 
-// logPlan logs a plan whose leaving share has changed noticeably.
-func (f *FrontEnd) logPlan(service string, plan spill.Plan) {
+// reportPlan publishes the leaving share of a plan, and logs it if it has changed noticeably.
+func (f *FrontEnd) reportPlan(service string, plan spill.Plan) {
 	leaving, logged := plan.Leaving(), f.leaving.loggedShares[service]
+	f.metrics.SetLeavingShare(service, leaving)
 	if math.Abs(leaving-logged) < loggedChange && (leaving > 0) == (logged > 0) {
 		return
 	}
--- a/internal/frontend/speeds.go
+++ b/internal/frontend/speeds.go
@@ -40,7 +40,11 @@
 		return
 	}
 	f.speeds.Evict(f.liveHosts(now), now)
-	for _, service := range f.speeds.Refresh(now) {
+	changed := f.speeds.Refresh(now)
+	for service, c := range f.speeds.Estimates().Comparisons() {
+		f.metrics.SetEngineTimes(service, c.Fast, c.Slow)
+	}
+	for _, service := range changed {
 		c := f.speeds.Estimates().Compared(service)
 		f.log.Info("engine speeds compared", "service", service, "differ", c.Differ, "fast-ms", 1000*c.Fast, "slow-ms", 1000*c.Slow)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,10 +25,10 @@
 	return u
 }
 
-// chooseOfVersion selects an upstream of the allowed versions. It considers, in this
-// order: engines of the data centre to which the plan sends the request; healthy engines of this host's cell, if the site is divided into cells; a random
-// part of the healthy upstreams, if there are many hosts; all upstreams. The plain policy
-// always considers all.
+// chooseOfVersion selects an upstream of the allowed versions. It considers, in this order: engines
+// of the data centre to which the plan sends the request; healthy engines of this host's cell, if the
+// site is divided into cells; a random part of the healthy upstreams, if there are many hosts; all
+// upstreams. The plain policy always considers all.
 func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
 	mayReceive := cat.Usable
 	if g.backOffs.count.Load() > 0 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,22 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_priority_requests_total{priority="%d",outcome=%q}`, rank, outcome)).Inc()
 }
 
+// RecordDispatch counts a request that was sent to an engine of the own data centre or another one.
+func (m *Metrics) RecordDispatch(ownDataCentre bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanscale_gateway_engine_sends_total{own="%t"}`, ownDataCentre)).Inc()
+}
+
+// SetEngineTimes sets the times in seconds for an output token of a service's fast and slow engines.
+func (m *Metrics) SetEngineTimes(service string, fast, slow float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`rattanscale_engine_output_token_seconds{service=%q,engines="fast"}`, service), nil).Set(fast)
+	m.set.GetOrCreateGauge(fmt.Sprintf(`rattanscale_engine_output_token_seconds{service=%q,engines="slow"}`, service), nil).Set(slow)
+}
+
+// SetLeavingShare sets the share of the requests to a service that leaves the data centre.
+func (m *Metrics) SetLeavingShare(service string, share float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`rattanscale_leaving_share{service=%q}`, service), nil).Set(share)
+}
+
 // RecordMigration records a migration with the duration of its first copy and the pause
 // of the stream.
 func (m *Metrics) RecordMigration(succeeded bool, copyTime, pauseTime time.Duration) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -132,6 +132,9 @@
 	c.sends++
 	c.startRun(u, d)
 	c.logEntry.upstream = u.ID
+	if c.service.Engine != nil {
+		c.g.Metrics.RecordDispatch(u.DataCentre == c.g.DataCentre)
+	}
 	response, err := c.g.Pool.Do(c.ctx, u.Address, &hop.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.info.ID,
 		Header: c.g.Protocol.Forward(c.r.Header, d), MaxIdle: maxIdleConnections(c.service.MaxConnections, c.g.HostCount()),
