Plan leaving only where hosts choose among a sample

Cause: on a site of 9 hosts and 15 engines the plan holds requests among the four or five engines of a data centre. Such hosts weigh all engines with views some milliseconds old. Change: no plan up to the number of hosts above which a choice is sampled.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -65,9 +65,12 @@
 	preselectionSize = 24
 )
 
+// Samples reports whether a choice is made among a sample of the upstreams.
+func Samples(hosts int) bool { return hosts > sampleAboveHosts }
+
 // PreselectionSize returns the number of random upstreams that a choice considers.
 func PreselectionSize(hosts int) int {
-	if hosts > sampleAboveHosts {
+	if Samples(hosts) {
 		return preselectionSize
 	}
 	return math.MaxInt
@@ -106,7 +109,7 @@
 // the same upstreams of the part.
 func Pick(candidates []Candidate, d Demand, hosts int, part float64, random *rand.Rand) int {
 	order := random.Perm(len(candidates))
-	if hosts > sampleAboveHosts {
+	if Samples(hosts) {
 		order = sampleUsable(candidates, order, d, max(int(math.Round(part*sampleSize)), minPartSample))
 	}
 	best, lowestCost := -1, 0.0
--- a/internal/frontend/leaving.go
+++ b/internal/frontend/leaving.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/spill"
 )
@@ -36,11 +37,12 @@
 	return &leaving{controllers: make(map[string]*spill.Controller), loggedShares: make(map[string]float64)}
 }
 
-// updateLeaving computes the plan of each service of model engines. On a divided site this host does
-// not know the demand of the other data centres, so there is no plan.
+// updateLeaving computes the plan of each service of model engines. There is none on a small site,
+// whose hosts weigh all engines for each request with views that are some milliseconds old, and none
+// on a divided one, where this host does not know the demand of the other data centres.
 func (f *FrontEnd) updateLeaving(now time.Time) {
 	cat := f.gateway.Catalog()
-	if !f.settings.Placement.DataCentrePlan || cat.Configuration == nil || f.members.Cells().Divided() {
+	if !f.settings.Placement.DataCentrePlan || cat.Configuration == nil || !balance.Samples(f.liveHostCount()) || f.members.Cells().Divided() {
 		f.gateway.SetLeavePlans(nil)
 		return
 	}
