--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/discovery"
 	"github.com/rattanscale/rattanscale/internal/duty"
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 	"github.com/rattanscale/rattanscale/internal/follow"
 	"github.com/rattanscale/rattanscale/internal/gateway"
 	"github.com/rattanscale/rattanscale/internal/gossip"
@@ -72,12 +73,15 @@
 
 // FrontEnd is one front-end process.
 type FrontEnd struct {
-	settings      *Settings
-	platform      Platform
-	log           logr.Logger
-	metrics       *gateway.Metrics
-	pool          *hop.Pool
-	loadTracker   *balance.Tracker
+	settings    *Settings
+	platform    Platform
+	log         logr.Logger
+	metrics     *gateway.Metrics
+	pool        *hop.Pool
+	loadTracker *balance.Tracker
+	// speeds is nil if the speeds of engines are not measured.
+	speeds        *enginespeed.Table
+	leaving       *leaving
 	gateway       *gateway.Gateway
 	catalog       Catalog
 	store         follow.Store
@@ -118,17 +122,20 @@
 	f.budget = membudget.New(limits, "caller", f.metrics.Set(), log)
 	f.auxiliaryBudget = membudget.New(limits.Auxiliary(), "auxiliary", f.metrics.Set(), log)
 	f.pool = hop.NewPool(func(h http.Header) string { return p.Protocol.Response(0, h).ID }, f.metrics.RecordConnection)
+	if s.Placement.EngineSpeeds {
+		f.speeds = enginespeed.NewTable()
+	}
 	f.members = gossip.NewTable(gossip.Member{
 		Name: s.Host.Name, Incarnation: time.Now().UnixMilli(), State: gossip.Starting, DataCentre: s.Host.DataCentre,
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer,
 	})
-	f.rollouts = newRollouts(f)
+	f.rollouts, f.leaving = newRollouts(f), newLeaving()
 	f.copyScheduler = newCopyScheduler(f)
 	f.gateway = gateway.New(gateway.Options{
 		PlainPolicy: s.Policy == PolicyPlain, CopyScheduler: f.copyScheduler, OnOutcome: f.rollouts.recordOutcome, AnnounceNotices: f.announce, ScheduleReport: f.sendToAllNextRound, Cell: f.ownCell,
 		OnRunBegan: f.recordRunBegan,
 		Host:       s.Host.Name, DataCentre: s.Host.DataCentre, Protocol: p.Protocol, Engines: p.Engines(f.pool),
-		Pool: f.pool, LoadTracker: f.loadTracker, HostCount: f.sharingHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
+		Pool: f.pool, LoadTracker: f.loadTracker, Speeds: f.speeds, Priorities: s.Placement.Priorities, HostCount: f.sharingHostCount, LimitSharers: f.members.LimitSharers, Metrics: f.metrics, Log: log,
 	})
 	f.gateway.SetRetryBounds(s.Retry.Ratio, s.Retry.Slack, s.Retry.Window)
 	f.catalog = p.Catalog(log, func(c *catalog.Catalog) {
@@ -262,6 +269,7 @@
 	switch m.Content {
 	case gossip.AllLoads:
 		m.Loads = f.loadTracker.OwnLoads()
+		m.Sections = append(m.Sections, f.speedsSection(now)...)
 	case gossip.ChangedLoads:
 		m.Loads = f.loadTracker.TakeChanges()
 		return
@@ -288,6 +296,7 @@
 // onMessage merges the loads of a peer and fetches table changes that only the peer holds.
 func (f *FrontEnd) onMessage(m gossip.Message, now time.Time) {
 	f.mergeLoads(m, now)
+	f.mergeSpeeds(m, now)
 	if continues := m.Split != nil && m.Split.Continuation; m.Content == gossip.ChangedLoads && !continues {
 		return
 	}
@@ -409,6 +418,8 @@
 	f.gateway.PromptParts().Evict(now)
 	f.gateway.EvictBackOffs(now)
 	f.gateway.Limits().Evict(now)
+	f.refreshSpeeds(now)
+	f.updateLeaving(now)
 	upstreams := f.gateway.Catalog().Upstreams
 	f.loadTracker.Evict(func(id string) bool { return upstreams[id] != nil }, now)
 }
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -29,6 +29,8 @@
 	Directory Directory `yaml:"directory"`
 	// Duties configures the tasks that one host at a time carries out.
 	Duties Duties `yaml:"duties"`
+	// Placement configures the choice of an upstream.
+	Placement Placement `yaml:"placement"`
 }
 
 // Listen holds the addresses, as IP and port, that the front end serves.
@@ -120,6 +122,21 @@
 	DutyAutoscale = "autoscale"
 )
 
+// Placement configures the choice of an upstream.
+type Placement struct {
+	// EngineSpeeds makes the choice depend on the measured speed of engines, where the engines of
+	// a service differ.
+	EngineSpeeds bool `yaml:"engine-speeds"`
+	// Priorities makes engines process requests in the order of the priorities that the
+	// configuration states, where those of a service's requests differ.
+	Priorities bool `yaml:"priorities"`
+	// DataCentrePlan makes requests leave a data centre by the demand of all, instead of by the
+	// load of single engines.
+	DataCentrePlan bool `yaml:"data-centre-plan"`
+	// DataCentreRoundTrip is the time between two data centres and back.
+	DataCentreRoundTrip time.Duration `yaml:"data-centre-round-trip" validate:"gte=0,lte=1s"`
+}
+
 // The values of Settings.Policy.
 const (
 	PolicyAdaptive = "adaptive"
@@ -140,6 +157,7 @@
 		Rollout:   RolloutBounds{Share: 0.1, Slack: 50},
 		Directory: Directory{Validity: 2 * time.Second},
 		Duties:    Duties{Term: 3 * time.Second, PauseMargin: 300 * time.Millisecond, UsageWindow: time.Minute, UsageDelay: 30 * time.Second},
+		Placement: Placement{EngineSpeeds: true, Priorities: true, DataCentrePlan: true, DataCentreRoundTrip: 2 * time.Millisecond},
 	}
 }
 
--- a/internal/gossip/version_test.go
+++ b/internal/gossip/version_test.go
@@ -67,6 +67,7 @@
 	require.NoError(t, err)
 	require.Equal(t, sent, again)
 	sent.PromptParts = promptparts.Report{Crashes: []promptparts.Crash{{Part: 5, Engine: 6, Age: 7}}, Answers: []promptparts.Answer{{Part: 8, Age: 9}}}
+	sent.Sections = []Section{{Name: "a", Data: []byte{1, 2}}}
 	extended, err := sent.encode()
 	require.NoError(t, err)
 	again, err = decodeMessage(extended)
