Let a version take over when the rest of its order fits its exposure bound

An accepted version took over after 0.7 of the ordered time.

A version takes over once the requests that are expected until the deadline fit into what is left of the exposure bound, so that it keeps the bound whenever it turns bad; at the latest at 0.95 of the time, or 1 s before the deadline, since the phase must be written in time. A version without proof is undone at 0.85 as before.

--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -178,7 +178,7 @@
 	t = &activeRollout{
 		order: order, phase: catalog.RolloutRunning, evidence: rollout.NewEvidence(),
 		counter: rollout.NewCounter(r.frontEnd.evidenceSource(), evidenceIncarnation(order)),
-		canary:  rollout.Canary{Service: order.Service, Version: order.Version, StartedAt: now, Duration: order.Duration},
+		canary:  rollout.Canary{Service: order.Service, Version: order.Version, StartedAt: now, Duration: order.Duration, Bounds: r.frontEnd.exposureBounds()},
 	}
 	r.active[order.Service] = t
 	r.frontEnd.log.Info("rollout ordered", "service", order.Service, "version", order.Version, "within", order.Duration, "revision", order.Revision)
@@ -273,9 +273,12 @@
 			}
 		}
 	}
-	bounds := rollout.ExposureBounds{Share: f.settings.Rollout.Share, Slack: f.settings.Rollout.Slack}
 	perSecond := f.gateway.RequestRate(service, now) * float64(f.liveHostCount())
-	return t.canary.RequestShare(bounds, perSecond, float64(onVersion)/float64(max(usable, 1)))
+	return t.canary.RequestShare(perSecond, float64(onVersion)/float64(max(usable, 1)))
+}
+
+func (f *FrontEnd) exposureBounds() rollout.ExposureBounds {
+	return rollout.ExposureBounds{Share: f.settings.Rollout.Share, Slack: f.settings.Rollout.Slack}
 }
 
 // writesPhase reports whether this host writes a phase that differs from the stored one.
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -22,11 +22,19 @@
 	// margin because hosts assign requests independently.
 	exposureFraction = 0.5
 	// acceptedFinishFraction is the fraction of the duration after which an accepted
-	// version takes over. Faults that appear before then affect a small share only.
+	// version takes over at the earliest.
 	acceptedFinishFraction = 0.7
-	// latestFinishFraction is the fraction of the duration at which a version takes over or
-	// is undone for lack of evidence.
-	latestFinishFraction = 0.85
+	// proofFraction is the fraction of the duration at which a version is undone for lack of
+	// evidence.
+	proofFraction = 0.85
+	// latestFinishFraction is the fraction of the duration at which an accepted version takes
+	// over at the latest, and minFinishTime the time that is left at least for the write of the
+	// phase.
+	latestFinishFraction = 0.95
+	minFinishTime        = time.Second
+	// rateMargin is the factor by which more requests may arrive until the deadline than did on
+	// average since the order.
+	rateMargin = 1.1
 )
 
 // Canary is a rollout in which the new version receives a small share of the requests
@@ -36,6 +44,7 @@
 	Service, Version string
 	StartedAt        time.Time
 	Duration         time.Duration
+	Bounds           ExposureBounds
 }
 
 // ExposureBounds is the number of requests that a version may receive before it is known
@@ -47,10 +56,10 @@
 // decision, so that services with little traffic provide enough evidence as well.
 // capacity is the fraction of the service's upstreams that run the version, which bounds
 // the share so that load alone does not make the version slow.
-func (c Canary) RequestShare(bounds ExposureBounds, perSecond, capacity float64) float64 {
-	share := exposureFraction * bounds.Share
+func (c Canary) RequestShare(perSecond, capacity float64) float64 {
+	share := exposureFraction * c.Bounds.Share
 	if requests := perSecond * fractionOf(c.Duration, acceptedFinishFraction).Seconds(); requests > 0 {
-		share += exposureFraction * bounds.Slack / requests
+		share += exposureFraction * c.Bounds.Slack / requests
 	}
 	return min(share, capacity)
 }
@@ -69,18 +78,33 @@
 	if verdict.Action == Undo {
 		return verdict
 	}
-	missing := missingProof(e.Total(CanaryPercent), service.Rollout)
+	total := e.Total(CanaryPercent)
+	missing := missingProof(total, service.Rollout)
 	switch {
 	case elapsed < fractionOf(c.Duration, acceptedFinishFraction):
 		return Verdict{}
-	case missing == "":
+	case missing == "" && c.mayTakeOver(elapsed, total):
 		return Verdict{Action: Finish, Reason: "the evidence excludes a version that often fails or is slow"}
-	case elapsed >= fractionOf(c.Duration, latestFinishFraction):
+	case missing != "" && elapsed >= fractionOf(c.Duration, proofFraction):
 		return Verdict{Action: Undo, Reason: missing}
 	}
 	return Verdict{}
 }
 
+// mayTakeOver reports whether an accepted version may receive all requests until the deadline. It
+// answers versions that turn bad late, which cannot be undone once they have taken over: the
+// version takes over when all requests until the deadline fit into what is left of the exposure
+// bound, so that it keeps the bound in any case, or else when the phase must be written.
+func (c Canary) mayTakeOver(elapsed time.Duration, total Comparison) bool {
+	if elapsed >= min(fractionOf(c.Duration, latestFinishFraction), max(c.Duration-minFinishTime, fractionOf(c.Duration, proofFraction))) {
+		return true
+	}
+	received := float64(total.New.ended())
+	soFar := received + float64(total.Old.ended())
+	left := rateMargin * soFar * float64(c.Duration-elapsed) / float64(elapsed)
+	return received+left <= c.Bounds.Share*(soFar+left)+c.Bounds.Slack
+}
+
 // missingProof returns which evidence for the new version is missing, or "" if it may take
 // over. A service without requests needs none.
 func missingProof(total Comparison, policy entity.RolloutPolicy) string {
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -131,15 +131,54 @@
 // Guards against a trial that exceeds the exposure bound, and against one on a quiet
 // service that ends without evidence.
 func TestRequestShareStaysWithinExposureBounds(t *testing.T) {
-	c := Canary{Duration: 15 * time.Second}
 	bounds := ExposureBounds{Share: 0.1, Slack: 50}
+	c := Canary{Duration: 15 * time.Second, Bounds: bounds}
 	for _, perSecond := range []float64{0, 0.5, 5, 16, 40, 500} {
-		share := c.RequestShare(bounds, perSecond, 1)
+		share := c.RequestShare(perSecond, 1)
 		total := perSecond * c.Duration.Seconds()
 		require.LessOrEqual(t, share*total, bounds.Share*total+bounds.Slack, "at %v requests a second", perSecond)
 		if perSecond >= 5 {
 			require.Greater(t, share*perSecond*acceptedFinishFraction*c.Duration.Seconds(), 20.0, "at %v requests a second", perSecond)
 		}
 	}
-	require.Equal(t, 0.25, c.RequestShare(bounds, 1, 0.25), "upstreams of the version are a quarter of all")
+	require.Equal(t, 0.25, c.RequestShare(1, 0.25), "upstreams of the version are a quarter of all")
+}
+
+// Guards against a version that turns bad after it was nearly in force, when nothing can undo it: it
+// must keep the exposure bound until the deadline, whenever it turns bad.
+func TestVersionThatTurnsBadLateKeepsTheExposureBound(t *testing.T) {
+	for _, perSecond := range []int{2, 60, 400} {
+		for _, turnsBad := range []float64{0.72, 0.75, 0.8, 0.9, 2} {
+			for seed := range uint64(10) {
+				c := Canary{
+					Service: "s", Version: "v2", StartedAt: time.Unix(1000, 0), Duration: 20 * time.Second,
+					Bounds: ExposureBounds{Share: 0.1, Slack: 50},
+				}
+				random := rand.New(rand.NewPCG(seed, 5))
+				counter, evidence := NewCounter("h1", "1"), NewEvidence()
+				share, all, onNew, verdict := c.RequestShare(float64(perSecond), 0.5), 0, 0, Verdict{}
+				const tick = 250 * time.Millisecond
+				for at := time.Duration(0); at < c.Duration; at += tick {
+					for range max(perSecond*int(tick)/int(time.Second), 1) {
+						isNew := verdict.Action == Finish || verdict.Action == Continue && random.Float64() < share
+						failed := isNew && at >= fractionOf(c.Duration, turnsBad) && random.Float64() < 0.4
+						counter.Record(CanaryPercent, "r", isNew, Outcome{Failed: failed, FirstToken: 30 * time.Millisecond})
+						if all++; isNew {
+							onNew++
+						}
+					}
+					evidence.Merge(counter.Report(true))
+					if verdict.Action == Continue {
+						verdict = JudgeCanary(c.StartedAt.Add(at), c, evidence)
+					}
+				}
+				require.LessOrEqual(t, float64(onNew), c.Bounds.Share*float64(all)+c.Bounds.Slack,
+					"%d a second, bad from %.2f on, seed %d: %s", perSecond, turnsBad, seed, verdict.Action)
+				require.NotEqual(t, Continue, verdict.Action, "the phase is decided before the deadline")
+				if turnsBad > 1 {
+					require.Equal(t, Finish, verdict.Action, "a good version, %d a second, seed %d: %s", perSecond, seed, verdict.Reason)
+				}
+			}
+		}
+	}
 }
