--- a/internal/enginespeed/estimates.go
+++ b/internal/enginespeed/estimates.go
@@ -125,8 +125,8 @@
 }
 
 // newTypicalSpeed returns the mean over the engines of a service, which is what is expected of one
-// of which nothing is known. The effect of further
-// requests is estimated within each engine and not between engines, since fast ones are given more.
+// of which nothing is known. The effect of further requests is estimated within each engine and not
+// between engines, since fast ones are given more.
 func newTypicalSpeed(engines []sums) (typicalSpeed, bool) {
 	var total sums
 	covariance, variance := 0.0, 0.0
@@ -197,7 +197,7 @@
 	if len(speeds) < minComparedEngines {
 		return Comparison{Differ: differed && len(speeds) > 0}
 	}
-	times := lo.Map(speeds, func(s Speed, _ int) float64 { return s.OutputToken }) // all at the same number of requests
+	times := lo.Map(speeds, func(s Speed, _ int) float64 { return s.OutputToken }) // Running is the same for all
 	slices.Sort(times)
 	compared := max(int(comparedShare*float64(len(times))), 1)
 	out := Comparison{Fast: lo.Mean(times[:compared]), Slow: lo.Mean(times[len(times)-compared:])}
--- a/internal/enginespeed/speeds.go
+++ b/internal/enginespeed/speeds.go
@@ -32,8 +32,8 @@
 	// promptPriorTokens and outputPriorTokens are the weight of the service's mean in the
 	// estimate of an engine: with as many tokens measured, both count the same.
 	promptPriorTokens, outputPriorTokens = 4000.0, 200.0
-	// maxReportedEngines bounds the engines in one report.
-	maxReportedEngines = 24
+	// maxReportedEngines bounds the engines in one report to about a kilobyte.
+	maxReportedEngines = 16
 	// Engines of a service count as different once the slow fifth takes differentRatio times as
 	// long as the fast fifth, and until it takes less than similarRatio. Estimates of equal
 	// engines differ by less, since each is drawn to the mean of the service.
