Match the answers of upstreams to their exchanges in the daemon

The daemon's HTTP transport takes what arrives first on a kept connection for the answer to the request that it has just sent. Calls with an idempotency key use a new connection each and were safe.

upstream.Transport gives each request an X-Exchange-Id and counts an answer only if it echoes it, or if it is the first on its connection and names none. Connections are kept only to upstreams that echo the identifier, and merged heads are rejected as in hop. The stand-ins of the daemon echo it.

--- a/internal/hop/boundary.go
+++ b/internal/hop/boundary.go
@@ -43,10 +43,10 @@
 // statusLine matches the beginning of a response head.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
 
-// containsHead reports whether another response head begins inside the head of a response. An
+// ContainsHead reports whether another response head begins inside the head of a response. An
 // upstream may have sent the start of a second answer to an earlier request while this request
 // was on its way; the lines of the response to this one then follow in the middle of a field.
-func containsHead(r *http.Response) bool {
+func ContainsHead(r *http.Response) bool {
 	if isHead(r.Status) {
 		return true
 	}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -342,7 +342,7 @@
 		if response.StatusCode < http.StatusOK { // informational responses (1xx)
 			continue
 		}
-		if containsHead(response) {
+		if ContainsHead(response) {
 			return nil, errMergedHeads
 		}
 		id := p.responseID(response.Header)
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rattanscale/rattanscale/internal/upstream"
 )
 
 // FaultKind is a kind of fault that a stand-in can inject.
@@ -146,6 +148,7 @@
 // except those to /stats.
 func (p *faultPlan) middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderExchange, r.Header.Get(upstream.HeaderExchange))
 		switch r.URL.Path {
 		case "/fault":
 			p.serve(w, r)
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -21,7 +21,8 @@
 	return "http://" + address + path
 }
 
-// NewHTTPClient returns a client whose connections run the check of WithSendCheck.
+// NewHTTPClient returns a client whose connections run the check of WithSendCheck and whose transport
+// is a Transport.
 // dialTimeout bounds connecting and the TLS handshake, each on its own. The client
 // follows no redirects, because a redirected request could run on an upstream that
 // the pool's owner did not choose.
@@ -31,7 +32,7 @@
 	const maxHeaderBytes = 32 << 10
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &Transport{echoing: make(map[string]bool), Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -46,7 +47,7 @@
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/upstream/http_test.go
+++ b/internal/upstream/http_test.go
@@ -24,13 +24,14 @@
 			var served atomic.Int32
 			server := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				served.Add(1)
+				w.Header().Set(HeaderExchange, r.Header.Get(HeaderExchange))
 				_, _ = io.Copy(w, r.Body)
 			}))
 			t.Cleanup(server.Close)
 			client := NewHTTPClient(time.Second, 4)
 			t.Cleanup(client.CloseIdleConnections)
 			if certificates := server.Client().Transport.(*http.Transport).TLSClientConfig; certificates != nil {
-				client.Transport.(*http.Transport).TLSClientConfig = certificates
+				client.Transport.(*Transport).TLSClientConfig = certificates
 			}
 			errEnded := errors.New("permission ended")
 			post := func(check func() error) error {
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -52,7 +52,7 @@
 		pooled:   upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
 		unpooled: upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
 	}
-	c.unpooled.Transport.(*http.Transport).DisableKeepAlives = true
+	c.unpooled.Transport.(*upstream.Transport).DisableKeepAlives = true
 	return c
 }
 
