--- a/internal/gossip/discovery_test.go
+++ b/internal/gossip/discovery_test.go
@@ -35,6 +35,19 @@
 	writes   int
 }
 
+// size returns the number of rows and of calls.
+func (h *hostTable) size() (rows, reads, writes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.rows), h.reads, h.writes
+}
+
+func (h *hostTable) setDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = down
+}
+
 func (h *hostTable) ReadHosts(_ context.Context, from string) (discovery.Page, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -113,11 +126,15 @@
 				s.network = &memoryNetwork{sockets: map[string]*memorySocket{}, lossRandom: rand.New(rand.NewPCG(11, 2)), dataCentres: map[string]string{}}
 				table := &hostTable{rows: map[string]discovery.Row{}}
 				lostSeeds := []string{"10.9.9.1:7000", "10.9.9.2:7000", "10.9.9.3:7000"}
-				start := func(i int, seeds []string) {
+				for i := range s.members {
 					m := &s.members[i]
 					m.PeerAddress = fmt.Sprintf("10.0.%d.%d:7000", i/100, i%100+1)
-					m.CallerAddress, m.Incarnation = m.PeerAddress, time.Now().UnixMilli()
+					m.CallerAddress = m.PeerAddress
 					s.network.dataCentres[m.PeerAddress] = m.DataCentre
+				}
+				start := func(i int, seeds []string) {
+					m := &s.members[i]
+					m.Incarnation = time.Now().UnixMilli()
 					s.hosts[i], s.running[i] = startHost(t, s.network, *m, seeds), true
 					s.discover(t.Context(), s.hosts[i], table)
 				}
@@ -126,15 +143,17 @@
 					start(i, lostSeeds)
 				}
 				s.requireConverged("start of all with an empty table", maxReturnTime)
-				t.Logf("%d reads and %d writes of the table", table.reads, table.writes)
-				require.LessOrEqual(t, table.reads, 3*n)
+				_, reads, writes := table.size()
+				t.Logf("%d reads and %d writes of the table", reads, writes)
+				require.LessOrEqual(t, reads, 3*n)
 				time.Sleep(20 * time.Second)
-				require.Len(t, table.rows, n)
+				rows, reads, writes := table.size()
+				require.Equal(t, n, rows)
 				if n < 10 {
-					reads, writes := table.reads, table.writes
 					time.Sleep(5 * time.Minute)
-					require.Equal(t, writes, table.writes, "nothing has changed")
-					require.LessOrEqual(t, table.reads-reads, 45, "reads in 5 minutes")
+					_, readsLater, writesLater := table.size()
+					require.Equal(t, writes, writesLater, "nothing has changed")
+					require.LessOrEqual(t, readsLater-reads, 45, "reads in 5 minutes")
 				}
 
 				s.kill(func(int) bool { return true })
@@ -147,7 +166,7 @@
 				if n >= 10 {
 					return
 				}
-				table.down = true
+				table.setDown(true)
 				s.kill(func(i int) bool { return i < 3 })
 				time.Sleep(removalTimeout + 5*time.Second)
 				for i := range 3 {
@@ -156,7 +175,7 @@
 				time.Sleep(10 * time.Second)
 				require.Zero(t, s.hosts[0].table.CountLive(time.Now()))
 				require.Greater(t, s.hosts[0].table.SharingHosts(time.Now()), n, "alone, and nothing is known of the site")
-				table.down = false
+				table.setDown(false)
 				s.requireConverged("three hosts started while the store was out", passTimeAfterOutage)
 			})
 		})
