Try a version on rare routes as well, and heed evidence on one route

Routes with little traffic get a larger share of the version, up to half, so that it has 30 requests of each before the decision; the rarest come first, and all stay within three quarters of the exposure bound. A version does not take over, and is undone at 0.85 of its time, while the evidence against it on a route is 20 to 1, times the number of routes, as in rollouts by steps.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -227,6 +227,8 @@
 	// Share is the fraction of requests that Version receives, from 0 to 1; the other
 	// versions receive the rest.
 	Share float64
+	// RouteShares holds the fractions of the routes that differ from Share.
+	RouteShares map[string]float64
 	// Exclusive sends all requests to Version because the other versions are about to
 	// stop.
 	Exclusive bool
--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -165,7 +165,9 @@
 			r.writePhase(ctx, t)
 		}
 		// The upstreams of the old version stop when the store holds the phase, not before.
-		rules[service] = catalog.VersionRule{Version: order.Version, Share: r.requestShare(t, known, now), Exclusive: t.storedPhase == catalog.RolloutCompleted}
+		rule := catalog.VersionRule{Version: order.Version, Exclusive: t.storedPhase == catalog.RolloutCompleted}
+		rule.Share, rule.RouteShares = r.requestShares(t, known, now)
+		rules[service] = rule
 	}
 	r.frontEnd.gateway.SetVersionRules(rules)
 }
@@ -256,11 +258,11 @@
 	})
 }
 
-// requestShare returns the fraction of the service's requests that goes to the new version
-// until the store holds that it is completed.
-func (r *rollouts) requestShare(t *activeRollout, known bool, now time.Time) float64 {
+// requestShares returns the fraction of the service's requests that goes to the new version
+// until the store holds that it is completed, and the larger fractions of single routes.
+func (r *rollouts) requestShares(t *activeRollout, known bool, now time.Time) (share float64, byRoute map[string]float64) {
 	if !known || t.phase == catalog.RolloutRolledBack {
-		return 0
+		return 0, nil
 	}
 	service, f := t.order.Service, r.frontEnd
 	usable, onVersion := 0, 0
@@ -274,7 +276,9 @@
 		}
 	}
 	perSecond := f.gateway.RequestRate(service, now) * float64(f.liveHostCount())
-	return t.canary.RequestShare(perSecond, float64(onVersion)/float64(max(usable, 1)))
+	capacity := float64(onVersion) / float64(max(usable, 1))
+	share = t.canary.RequestShare(perSecond, capacity)
+	return share, t.canary.RouteShares(now, t.evidence, share, capacity)
 }
 
 func (f *FrontEnd) exposureBounds() rollout.ExposureBounds {
--- a/internal/frontend/rollouts_test.go
+++ b/internal/frontend/rollouts_test.go
@@ -50,7 +50,9 @@
 	judge.undo(judge.active[testOrder.Service], "more failures", "h1")
 	other.mergeEvidence(judge.encodeEvidence())
 	require.Equal(t, catalog.RolloutRolledBack, other.active[testOrder.Service].phase)
-	require.Zero(t, other.requestShare(other.active[testOrder.Service], true, time.Unix(1001, 0)))
+	share, byRoute := other.requestShares(other.active[testOrder.Service], true, time.Unix(1001, 0))
+	require.Zero(t, share)
+	require.Empty(t, byRoute)
 
 	stale := newTestRollouts("h3", time.Unix(1000, 0))
 	later := testOrder
--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for i := range 400 {
-		u := g.chooseUpstream(g.Catalog(), service, fmt.Sprint(i), load.Tokens, nil, time.Now())
+		u := g.chooseUpstream(g.Catalog(), service, "", fmt.Sprint(i), load.Tokens, nil, time.Now())
 		require.NotNil(t, u)
 		if !inOwnCell("", u.ID) {
 			chosenElsewhere++
@@ -53,7 +53,7 @@
 	service.Engine, service.ColdRate = nil, 0
 	chosen := map[string]bool{}
 	for i := range 200 {
-		chosen[g.chooseUpstream(g.Catalog(), service, fmt.Sprint(i), 0, nil, time.Now()).ID] = true
+		chosen[g.chooseUpstream(g.Catalog(), service, "", fmt.Sprint(i), 0, nil, time.Now()).ID] = true
 	}
 	require.Len(t, chosen, 16)
 }
@@ -62,7 +62,7 @@
 func TestOtherCellsServeWhenOwnCellHasNoEngine(t *testing.T) {
 	g, service := newManyEngineGateway(200, func(_ int, u *catalog.Upstream) { u.Draining = retry.Hash(u.ID)%8 == 3 })
 	divideIntoCells(g)
-	u := g.chooseUpstream(g.Catalog(), service, "r", 1000, nil, time.Now())
+	u := g.chooseUpstream(g.Catalog(), service, "", "r", 1000, nil, time.Now())
 	require.NotNil(t, u)
 	require.False(t, u.Draining)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -14,8 +14,8 @@
 // chooseUpstream selects an upstream for a request that is expected to hold the given
 // tokens of memory, or returns nil. A request of a version on trial runs on another
 // version if no upstream of its own has capacity.
-func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, request string, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
-	versionAllowed, onTrial := g.allowedVersions(service.Name, request)
+func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, route, request string, tokens int, triedUpstreams []string, now time.Time) *catalog.Upstream {
+	versionAllowed, onTrial := g.allowedVersions(service.Name, route, request)
 	u := g.chooseOfVersion(cat, service, versionAllowed, tokens, triedUpstreams, now)
 	if onTrial && (u == nil || !g.hasRoom(u, service, tokens, now)) {
 		otherVersion := func(version string) bool { return !versionAllowed(version) }
@@ -122,7 +122,7 @@
 
 // allowedVersions returns a function that reports whether a version may serve the
 // request, and whether the request is one of those on which a version is tried.
-func (g *Gateway) allowedVersions(service, request string) (allowed func(version string) bool, onTrial bool) {
+func (g *Gateway) allowedVersions(service, route, request string) (allowed func(version string) bool, onTrial bool) {
 	rules := g.versionRules.Load()
 	if rules == nil {
 		return func(string) bool { return true }, false
@@ -131,7 +131,11 @@
 	if !ok {
 		return func(string) bool { return true }, false
 	}
-	onTrial = !rule.Exclusive && float64(retry.Hash(request+rule.Version)%shareResolution) < rule.Share*shareResolution
+	share, differs := rule.RouteShares[route]
+	if !differs {
+		share = rule.Share
+	}
+	onTrial = !rule.Exclusive && float64(retry.Hash(request+rule.Version)%shareResolution) < share*shareResolution
 	return func(version string) bool { return (version == rule.Version) == (rule.Exclusive || onTrial) }, onTrial
 }
 
--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -35,7 +35,7 @@
 			g.Publish(c)
 			b.ReportAllocs()
 			for b.Loop() {
-				if g.chooseUpstream(g.Catalog(), service, "r1", 1000, nil, now) == nil {
+				if g.chooseUpstream(g.Catalog(), service, "", "r1", 1000, nil, now) == nil {
 					b.Fatal("no upstream was chosen")
 				}
 			}
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -46,7 +46,7 @@
 			})
 			for i := range 100 {
 				// A cold engine may be chosen too, since its rate is low but not zero.
-				u := g.chooseUpstream(g.Catalog(), service, fmt.Sprint(i), 1000, nil, now)
+				u := g.chooseUpstream(g.Catalog(), service, "", fmt.Sprint(i), 1000, nil, now)
 				require.NotNil(t, u)
 				if name != "others are cold" {
 					require.Equal(t, fmt.Sprintf("engine-%04d", usableEngine), u.ID)
@@ -60,7 +60,7 @@
 			g.LoadTracker.RecordFailure(fmt.Sprintf("engine-%04d", i), now)
 		}
 	}
-	require.Equal(t, fmt.Sprintf("engine-%04d", usableEngine), g.chooseUpstream(g.Catalog(), service, "r", 1000, nil, now).ID, "others have failed")
+	require.Equal(t, fmt.Sprintf("engine-%04d", usableEngine), g.chooseUpstream(g.Catalog(), service, "", "r", 1000, nil, now).ID, "others have failed")
 }
 
 // Guards against hosts that preselect the same engines and overload them: 90 hosts
@@ -69,9 +69,20 @@
 	chosen := map[string]int{}
 	for range 90 {
 		g, service := newManyEngineGateway(200, func(int, *catalog.Upstream) {})
-		chosen[g.chooseUpstream(g.Catalog(), service, "r", 1000, nil, time.Now()).ID]++
+		chosen[g.chooseUpstream(g.Catalog(), service, "", "r", 1000, nil, time.Now()).ID]++
 	}
 	for id, n := range chosen {
 		require.LessOrEqual(t, n, 9, id) // a tenth of the hosts
 	}
 }
+
+// Guards against a version on trial that gets the share of its service on a route that has its own.
+func TestRouteOfAVersionOnTrialHasItsOwnShare(t *testing.T) {
+	g := New(Options{Log: logr.Discard()})
+	g.SetVersionRules(map[string]catalog.VersionRule{"s": {Version: "v2", RouteShares: map[string]float64{"rare": 1}}})
+	allowed, onTrial := g.allowedVersions("s", "rare", "r1")
+	require.True(t, onTrial)
+	require.True(t, allowed("v2"))
+	_, onTrial = g.allowedVersions("s", "often", "r1")
+	require.False(t, onTrial)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -391,7 +391,7 @@
 
 // chooseUpstream selects an upstream that has not been tried yet, or returns nil.
 func (c *call) chooseUpstream(now time.Time) *catalog.Upstream {
-	return c.g.chooseUpstream(c.g.Catalog(), c.service, c.info.ID, c.expectedMemoryTokens(), c.triedUpstreams, now)
+	return c.g.chooseUpstream(c.g.Catalog(), c.service, c.route.Name, c.info.ID, c.expectedMemoryTokens(), c.triedUpstreams, now)
 }
 
 // maySend reports whether the limits of the request and of the service allow one more
--- a/internal/gateway/statements_model_test.go
+++ b/internal/gateway/statements_model_test.go
@@ -132,7 +132,7 @@
 		case event == 7:
 			m.hosts[i] = m.newHost()
 		case event == 8:
-			if u := h.gateway.chooseUpstream(h.gateway.Catalog(), m.service, "r", 100, nil, time.Now()); u != nil {
+			if u := h.gateway.chooseUpstream(h.gateway.Catalog(), m.service, "", "r", 100, nil, time.Now()); u != nil {
 				h.pending = append(h.pending, u)
 			}
 			time.Sleep(time.Duration(rapid.IntRange(0, 1000).Draw(t, "µs")) * time.Microsecond)
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/entity"
@@ -32,6 +34,16 @@
 	// phase.
 	latestFinishFraction = 0.95
 	minFinishTime        = time.Second
+	// routeRequests is the number of requests of each route that the version should receive until
+	// the decision, and maxRouteShare the largest fraction of a route: the rest shows how often the
+	// old version fails.
+	routeRequests = 30
+	maxRouteShare = 0.5
+	// routeFraction is the part of the exposure bound that a canary uses with the larger shares of
+	// single routes.
+	routeFraction = 0.75
+	// minRateFraction is the fraction of the duration after which the rates of routes are known.
+	minRateFraction = 0.05
 	// rateMargin is the factor by which more requests may arrive until the deadline than did on
 	// average since the order.
 	rateMargin = 1.1
@@ -64,6 +76,52 @@
 	return min(share, capacity)
 }
 
+// RouteShares returns the fractions of the routes on which the canary receives more than share, its
+// fraction of all requests. It answers versions that fail on one route only: of a route with
+// little traffic the share yields too few requests to show it. The rarest routes come first, and
+// together they stay within routeFraction of the exposure bound.
+func (c Canary) RouteShares(now time.Time, e *Evidence, share, capacity float64) map[string]float64 {
+	elapsed := now.Sub(c.StartedAt)
+	left := fractionOf(c.Duration, proofFraction) - elapsed
+	if elapsed < fractionOf(c.Duration, minRateFraction) || left <= 0 {
+		return nil
+	}
+	type routeNeed struct {
+		route           string
+		expected, extra float64
+	}
+	var needs []routeNeed
+	var expectedAll, receivedAll, seenAll float64
+	for _, route := range e.routes() {
+		total := e.totals[stepRouteKey{CanaryPercent, route}]
+		if total == nil {
+			continue
+		}
+		received := float64(total.New.ended())
+		seen := received + float64(total.Old.ended())
+		expected := seen * float64(left) / float64(elapsed)
+		expectedAll, receivedAll, seenAll = expectedAll+expected, receivedAll+received, seenAll+seen
+		if extra := routeRequests - received - share*expected; extra > 0 && expected > 0 {
+			needs = append(needs, routeNeed{route, expected, extra})
+		}
+	}
+	slices.SortFunc(needs, func(a, b routeNeed) int {
+		return cmp.Or(cmp.Compare(a.expected, b.expected), cmp.Compare(a.route, b.route))
+	})
+	budget := routeFraction*(c.Bounds.Share*(seenAll+expectedAll)+c.Bounds.Slack) - receivedAll - share*expectedAll
+	shares := make(map[string]float64)
+	for _, n := range needs {
+		raised := min(share+n.extra/n.expected, maxRouteShare, capacity)
+		cost := (raised - share) * n.expected
+		if raised <= share || cost > budget {
+			continue
+		}
+		budget -= cost
+		shares[n.route] = raised
+	}
+	return shares
+}
+
 // JudgeCanary returns Continue, Finish or Undo for a canary. The result depends on
 // its arguments only.
 func JudgeCanary(now time.Time, c Canary, e *Evidence) Verdict {
@@ -80,6 +138,9 @@
 	}
 	total := e.Total(CanaryPercent)
 	missing := missingProof(total, service.Rollout)
+	if missing == "" { // evidence against one route, too weak to undo the version before
+		missing = newEvaluation(now, running, service.Rollout, e).overdueUndoReason()
+	}
 	switch {
 	case elapsed < fractionOf(c.Duration, acceptedFinishFraction):
 		return Verdict{}
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -182,3 +182,54 @@
 		}
 	}
 }
+
+// Guards against a version that fails on a route with little traffic and takes over, since its share
+// of that route shows too little; and against good versions that are undone by chance.
+func TestVersionThatFailsOnARareRouteIsUndone(t *testing.T) {
+	const perSecond, rareShare, plays = 60, 0.05, 40
+	finished := map[bool]int{}
+	for _, bad := range []bool{true, false} {
+		for seed := range uint64(plays) {
+			c := Canary{
+				Service: "s", Version: "v2", StartedAt: time.Unix(1000, 0), Duration: 20 * time.Second,
+				Bounds: ExposureBounds{Share: 0.1, Slack: 50},
+			}
+			random := rand.New(rand.NewPCG(seed, 6))
+			counter, evidence := NewCounter("h1", "1"), NewEvidence()
+			all, onNew, verdict := 0, 0, Verdict{}
+			const tick = 250 * time.Millisecond
+			for at := time.Duration(0); at < c.Duration && verdict.Action == Continue; at += tick {
+				now := c.StartedAt.Add(at)
+				share := c.RequestShare(perSecond, 0.5)
+				shares := c.RouteShares(now, evidence, share, 0.5)
+				for range perSecond * int(tick) / int(time.Second) {
+					route, routeShare := "often", share
+					if random.Float64() < rareShare {
+						route = "rare"
+					}
+					if raised, ok := shares[route]; ok {
+						routeShare = raised
+					}
+					isNew, failureRate := random.Float64() < routeShare, 0.004
+					if bad && isNew && route == "rare" {
+						failureRate = 0.4
+					}
+					counter.Record(CanaryPercent, route, isNew, Outcome{Failed: random.Float64() < failureRate, FirstToken: 30 * time.Millisecond})
+					if all++; isNew {
+						onNew++
+					}
+				}
+				evidence.Merge(counter.Report(true))
+				verdict = JudgeCanary(now, c, evidence)
+			}
+			require.NotEqual(t, Continue, verdict.Action)
+			if verdict.Action == Finish {
+				finished[bad]++
+			}
+			require.LessOrEqual(t, float64(onNew), c.Bounds.Share*float64(all)+c.Bounds.Slack, "seed %d", seed)
+		}
+	}
+	t.Logf("taken over: %d of %d bad versions, %d of %d good ones", finished[true], plays, finished[false], plays)
+	require.LessOrEqual(t, finished[true], plays/10, "bad versions that took over")
+	require.GreaterOrEqual(t, finished[false], plays*19/20, "good versions that took over")
+}
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -50,8 +50,7 @@
 		return Verdict{}
 	}
 	e.addDueStart(now, r.Step)
-	ev := evaluation{now: now, rollout: r, policy: s.Rollout, evidence: e, routes: e.routes(), sums: map[string]pooledSums{}}
-	ev.bounds = boundsFor(len(ev.routes), s.Rollout.FinishWithin)
+	ev := newEvaluation(now, r, s.Rollout, e)
 	if reason := ev.undoReason(); reason != "" {
 		return Verdict{Action: Undo, Reason: reason}
 	}
@@ -69,6 +68,12 @@
 	sums     map[string]pooledSums
 }
 
+func newEvaluation(now time.Time, r entity.Rollout, policy entity.RolloutPolicy, e *Evidence) *evaluation {
+	ev := &evaluation{now: now, rollout: r, policy: policy, evidence: e, routes: e.routes(), sums: map[string]pooledSums{}}
+	ev.bounds = boundsFor(len(ev.routes), policy.FinishWithin)
+	return ev
+}
+
 // pooledSums holds the evidence of one route by statistic, summed over steps.
 type pooledSums struct{ logEvidence, policyLogRatio [statistics]float64 }
 
