--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -54,7 +54,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				if g.chooseUpstream(g.Catalog(), service, "r1", balance.Demand{MemoryTokens: 1000, PromptTokens: 800, Events: 50, TokensPerEvent: 4, FirstEventTarget: 1, MaxEventGap: 0.18}, nil, now) == nil {
+				if g.chooseUpstream(g.Catalog(), service, "", "r1", balance.Demand{MemoryTokens: 1000, PromptTokens: 800, Events: 50, TokensPerEvent: 4, FirstEventTarget: 1, MaxEventGap: 0.18}, nil, now) == nil {
 					b.Fatal("no upstream was chosen")
 				}
 			}
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -18,7 +18,7 @@
 	const choices = 2000
 	out := make(map[string]float64)
 	for i := range choices {
-		out[g.chooseUpstream(g.Catalog(), service, fmt.Sprint(i), demand, nil, time.Now()).DataCentre] += 1.0 / choices
+		out[g.chooseUpstream(g.Catalog(), service, "", fmt.Sprint(i), demand, nil, time.Now()).DataCentre] += 1.0 / choices
 	}
 	return out
 }
