--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/tlsconf/tlstest"
 )
 
 const (
@@ -242,3 +244,31 @@
 		calls.Wait()
 	}
 }
+
+// handshakeCrowd sends the start of a TLS handshake message of the longest length, and stays.
+var handshakeCrowd = crowd{headClients, func(_ target, conn net.Conn) {
+	const messageBytes, recordBytes = 64 << 10, 16 << 10
+	message := append([]byte{1, 0, 0xff, 0xff}, make([]byte, messageBytes-100)...)
+	for len(message) > 0 {
+		n := min(len(message), recordBytes)
+		write(conn, []byte{22, 3, 1, byte(n >> 8), byte(n)}, message[:n])
+		message = message[n:]
+	}
+}}
+
+// Guards against handshakes that hold memory or descriptors of a daemon.
+func TestDaemonOutlivesHandshakes(t *testing.T) {
+	start := func(t *testing.T) (caller, operator target) {
+		cert, key := tlstest.WriteCertificate(t, t.TempDir(), 1)
+		t.Setenv("RATTAN_CA", cert)
+		return startDaemonWith(t, fmt.Sprintf("tls: {cert: %s, key: %s, ca: %s}\n", cert, key, cert), "https", descriptorLimit())
+	}
+	t.Run("callers", func(t *testing.T) {
+		caller, _ := start(t)
+		handshakeCrowd.attack(t, caller)
+	})
+	t.Run("operators", func(t *testing.T) {
+		_, operator := start(t)
+		handshakeCrowd.attack(t, operator)
+	})
+}
--- a/e2e/hostile/process_test.go
+++ b/e2e/hostile/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"flag"
 	"fmt"
 	"io"
@@ -175,7 +176,8 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+	client := &http.Client{Transport: transport, Timeout: 10 * time.Second}
 	response, err := client.Do(r)
 	if err != nil {
 		return false
@@ -223,6 +225,12 @@
 // startDaemon starts a daemon with an engine. The first target is its interface for callers,
 // the second that for operators.
 func startDaemon(t *testing.T, environment ...string) (caller, operator target) {
+	t.Helper()
+	return startDaemonWith(t, "", "http", environment...)
+}
+
+// startDaemonWith starts a daemon with additional settings that serves the scheme.
+func startDaemonWith(t *testing.T, extraSettings, scheme string, environment ...string) (caller, operator target) {
 	t.Helper()
 	dir, engine := t.TempDir(), freeAddress(t)
 	startProcess(t, "standin", nil, "engine", "-listen", engine)
@@ -232,7 +240,7 @@
 		"keys: {resume: resume-key-0123456, peer: peer-key-012345678, operators: {ops: %s}, accounts: {guides: %s}}\n"+
 		"limits: {memory-mb: %d, body-bytes: 4194304, header-timeout: 30s, idle-timeout: 60s}\n",
 		callerAddress, operatorAddress, freeAddress(t), operatorKey, accountKey, *machineMemoryMB)
-	require.NoError(t, os.WriteFile(file, []byte(settingsText), 0o600))
+	require.NoError(t, os.WriteFile(file, []byte(settingsText+extraSettings), 0o600))
 	p := startProcess(t, "daemon", environment, "-config", file)
 
 	serviceFile := filepath.Join(dir, "service.yaml")
@@ -263,7 +271,7 @@
 		return cmd.Run() == nil
 	})
 	answered := func() bool {
-		return succeeds(http.MethodPost, "http://"+callerAddress+"/v1/services/restart/generate",
+		return succeeds(http.MethodPost, scheme+"://"+callerAddress+"/v1/services/restart/generate",
 			`{"prompt":"tokens=5 `+strings.Repeat("x", 17_000)+`"}`,
 			map[string]string{"Authorization": "Bearer " + accountKey, "Content-Type": "application/json"})
 	}
@@ -271,7 +279,7 @@
 	callerHead := "POST /v1/services/restart/generate HTTP/1.1\r\nHost: rides.example\r\nContent-Type: application/json\r\nAuthorization: Bearer " + accountKey + "\r\n"
 	operatorHead := "PUT /v1/text HTTP/1.1\r\nHost: rides.example\r\nContent-Type: application/yaml\r\nAuthorization: Bearer " + operatorKey + "\r\n"
 	operatorAnswered := func() bool {
-		return answered() && succeeds(http.MethodGet, "http://"+operatorAddress+"/v1/status", "", map[string]string{"Authorization": "Bearer " + operatorKey})
+		return answered() && succeeds(http.MethodGet, scheme+"://"+operatorAddress+"/v1/status", "", map[string]string{"Authorization": "Bearer " + operatorKey})
 	}
 	return target{process: p, address: callerAddress, head: callerHead, ordinary: answered},
 		target{process: p, address: operatorAddress, head: operatorHead, ordinary: operatorAnswered}
