Explain where a request would go now without sending it

Cause: an operator could not see why a request goes to an engine, or why none takes it. Change: rattanctl where asks a front end at its metrics address. The host takes the decisions of the request path with an admission that reserves nothing; the cost of a candidate is the sum of named parts.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -87,21 +87,40 @@
 	return max(bySlots, float64(c.Load.Tokens+tokens)/float64(c.MemoryTokens))
 }
 
-// Cost ranks the candidate for a request; lower is better.
-func (c *Candidate) Cost(d Demand) float64 {
-	cost := c.projectedUtilisation(d.MemoryTokens) + c.waitCost(d) + c.ErrorShare*errorPenalty
+// CostParts are the parts of a candidate's cost for a request, each as a share of capacity.
+type CostParts struct {
+	// Load is the use of slots or memory including the request.
+	Load float64 `json:"load"`
+	// Wait is the wait for the first event, and the risk that events are late.
+	Wait float64 `json:"wait"`
+	// Errors is for failed exchanges, DataCentre for one in another data centre.
+	Errors     float64 `json:"errors"`
+	DataCentre float64 `json:"data-centre"`
+	// Avoided is for a recent failure or an entry that is missing.
+	Avoided float64 `json:"avoided"`
+}
+
+// Total is the cost that ranks candidates; lower is better.
+func (p CostParts) Total() float64 { return p.Load + p.Wait + p.Errors + p.DataCentre + p.Avoided }
+
+// CostParts returns the parts of the candidate's cost for a request.
+func (c *Candidate) CostParts(d Demand) CostParts {
+	parts := CostParts{Load: c.projectedUtilisation(d.MemoryTokens), Wait: c.waitCost(d), Errors: c.ErrorShare * errorPenalty}
 	if !c.Local {
-		cost += remotePenalty
+		parts.DataCentre = remotePenalty
 	}
 	if c.Avoid {
-		cost += avoidPenalty
+		parts.Avoided += avoidPenalty
 	}
 	if c.LastResort {
-		cost += lastResortPenalty
+		parts.Avoided += lastResortPenalty
 	}
-	return cost
+	return parts
 }
 
+// Cost ranks the candidate for a request; lower is better.
+func (c *Candidate) Cost(d Demand) float64 { return c.CostParts(d).Total() }
+
 // Pick returns the index of the candidate with the lowest cost for a request, or -1 without
 // candidates. Ties are broken at random. With many hosts it chooses among a random sample. Part is
 // the share of the service's upstreams that the candidates are taken from, for example those of one
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -48,6 +48,7 @@
 		&rolloutCommand{client: client{environment: env}},
 		&requestCommand{client: client{environment: env}},
 		&explainCommand{env: env, stdin: os.Stdin},
+		&whereCommand{client: client{environment: env}},
 	} {
 		commander.Register(c, "")
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -473,6 +473,10 @@
 	return lo.Map(chosen, func(h routing.Host, _ int) string { return h.Address }), f.settings.Directory.Validity
 }
 
-func (f *FrontEnd) metricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { f.metrics.Write(w) })
+// operatorHandler serves the metrics, and at /where where a request would go now.
+func (f *FrontEnd) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /where", f.serveWhere)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { f.metrics.Write(w) })
+	return mux
 }
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -38,7 +38,7 @@
 	handlers := map[string]http.Handler{
 		f.settings.Listen.Readiness: f.platform.Readiness(f.acceptsCallers),
 		f.settings.Listen.Directory: f.platform.Directory(f.callerAddresses),
-		f.settings.Listen.Metrics:   f.metricsHandler(),
+		f.settings.Listen.Metrics:   f.operatorHandler(),
 	}
 	for address, handler := range handlers {
 		if address == "" {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -14,11 +14,30 @@
 // chooseUpstream selects an upstream for a request, or returns nil. A request of a version on
 // trial runs on another version if no upstream of its own has capacity.
 func (g *Gateway) chooseUpstream(cat *catalog.Catalog, service *catalog.Service, route, request string, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
+	return g.chooseAdmitted(g.admit, cat, service, route, request, demand, triedUpstreams, now)
+}
+
+// admission reports whether this host may send a request to an upstream, and whether the upstream
+// limits its requests.
+type admission func(u *catalog.Upstream, service *catalog.Service, hosts int, now time.Time) (admitted, limited bool)
+
+// admit takes a request from this host's share of an upstream's rate, if it is cold or limits its
+// requests.
+func (g *Gateway) admit(u *catalog.Upstream, service *catalog.Service, hosts int, now time.Time) (admitted, limited bool) {
+	if service.ColdRate > 0 && now.Before(u.ColdUntil) && !g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now) {
+		return false, false
+	}
+	taken := g.takeFromLimit(u, now)
+	return taken, !taken
+}
+
+// chooseAdmitted is chooseUpstream with the given admission.
+func (g *Gateway) chooseAdmitted(admit admission, cat *catalog.Catalog, service *catalog.Service, route, request string, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
 	versionAllowed, onTrial := g.allowedVersions(service.Name, route, request)
-	u := g.chooseOfVersion(cat, service, versionAllowed, demand, triedUpstreams, now)
+	u := g.chooseOfVersion(admit, cat, service, versionAllowed, demand, triedUpstreams, now)
 	if onTrial && (u == nil || !g.hasRoom(u, service, demand.MemoryTokens, now)) {
 		otherVersion := func(version string) bool { return !versionAllowed(version) }
-		if other := g.chooseOfVersion(cat, service, otherVersion, demand, triedUpstreams, now); other != nil {
+		if other := g.chooseOfVersion(admit, cat, service, otherVersion, demand, triedUpstreams, now); other != nil {
 			return other
 		}
 	}
@@ -29,7 +48,7 @@
 // of the data centre to which the plan sends the request; healthy engines of this host's cell, if the
 // site is divided into cells; a random part of the healthy upstreams, if there are many hosts; all
 // upstreams. The plain policy always considers all.
-func (g *Gateway) chooseOfVersion(cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
+func (g *Gateway) chooseOfVersion(admit admission, cat *catalog.Catalog, service *catalog.Service, versionAllowed func(string) bool, demand balance.Demand, triedUpstreams []string, now time.Time) *catalog.Upstream {
 	mayReceive := cat.Usable
 	if g.backOffs.count.Load() > 0 {
 		mayReceive = func(u *catalog.Upstream) bool { return g.mayReceive(cat, u, now) }
@@ -43,25 +62,25 @@
 	}
 	if dataCentre, part, planned := g.drawDataCentre(service); planned {
 		there := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return u.DataCentre == dataCentre && isHealthy(u) })
-		if u := g.chooseAmongPart(there, part, service, demand, hosts, now); u != nil && g.servesInTime(u, service, demand, now) {
+		if u := g.chooseAmongPart(admit, there, part, service, demand, hosts, now); u != nil && g.servesInTime(u, service, demand, now) {
 			return u
 		}
 	}
 	// Plain upstreams are few and their requests are short, so all hosts share them.
 	if inOwnCell, divided := g.Cell(); divided && service.Engine != nil && !g.PlainPolicy {
 		cellUpstreams := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return inOwnCell(u.DataCentre, u.ID) && isHealthy(u) })
-		if u := g.chooseAmong(cellUpstreams, service, demand, hosts, now); u != nil && g.hasRoom(u, service, demand.MemoryTokens, now) {
+		if u := g.chooseAmong(admit, cellUpstreams, service, demand, hosts, now); u != nil && g.hasRoom(u, service, demand.MemoryTokens, now) {
 			return u
 		}
 	}
 	if limit := balance.PreselectionSize(hosts); len(upstreams) > limit && !g.PlainPolicy {
 		if preselected := g.preselect(upstreams, limit, isHealthy); len(preselected) == limit {
-			if u := g.chooseAmong(preselected, service, demand, hosts, now); u != nil {
+			if u := g.chooseAmong(admit, preselected, service, demand, hosts, now); u != nil {
 				return u
 			}
 		}
 	}
-	return g.chooseAmong(lo.Filter(upstreams, func(u *catalog.Upstream, _ int) bool { return isUsable(u) }), service, demand, hosts, now)
+	return g.chooseAmong(admit, lo.Filter(upstreams, func(u *catalog.Upstream, _ int) bool { return isUsable(u) }), service, demand, hosts, now)
 }
 
 // hasRoom reports whether the upstream has capacity for the request.
@@ -102,12 +121,12 @@
 
 // chooseAmong picks the upstream with the lowest cost, skipping cold ones and ones that limit
 // their requests if this host's share of the rate is used up. It modifies candidates.
-func (g *Gateway) chooseAmong(candidates []*catalog.Upstream, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
-	return g.chooseAmongPart(candidates, 1, service, demand, hosts, now)
+func (g *Gateway) chooseAmong(admit admission, candidates []*catalog.Upstream, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
+	return g.chooseAmongPart(admit, candidates, 1, service, demand, hosts, now)
 }
 
 // chooseAmongPart is chooseAmong for candidates that are a part of the service's upstreams.
-func (g *Gateway) chooseAmongPart(candidates []*catalog.Upstream, part float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
+func (g *Gateway) chooseAmongPart(admit admission, candidates []*catalog.Upstream, part float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
 	skippedLimited := false
 	for len(candidates) > 0 {
@@ -119,16 +138,14 @@
 		}
 		g.randomMu.Unlock()
 		u := candidates[best]
-		cold := service.ColdRate > 0 && now.Before(u.ColdUntil)
-		switch {
-		case skippedLimited && balance.Overloaded(balanceCandidates[best], demand.MemoryTokens, maxShareBesideLimits):
+		if skippedLimited && balance.Overloaded(balanceCandidates[best], demand.MemoryTokens, maxShareBesideLimits) {
 			return nil
-		case cold && !g.LoadTracker.AllowCold(u.ID, service.ColdRate, hosts, now):
-		case !g.takeFromLimit(u, now):
-			skippedLimited = true
-		default:
+		}
+		admitted, limited := admit(u, service, hosts, now)
+		if admitted {
 			return u
 		}
+		skippedLimited = skippedLimited || limited
 		candidates, views = slices.Delete(candidates, best, best+1), slices.Delete(views, best, best+1)
 	}
 	return nil
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -22,11 +22,16 @@
 
 // demand describes the request for the choice of an upstream.
 func (c *call) demand() balance.Demand {
-	d := balance.Demand{MemoryTokens: c.expectedMemoryTokens()}
-	if c.route.Kind == catalog.Stream && c.service.Engine != nil {
-		d.PromptTokens, d.TokensPerEvent = c.info.PromptTokens, max(c.service.Engine.TokensPerEvent, 1)
-		d.Events = c.expectedOutputTokens() / d.TokensPerEvent
-		d.FirstEventTarget, d.MaxEventGap = c.route.LatencyTarget.Seconds(), c.route.MaxEventGap.Seconds()
+	return newDemand(c.route, c.service, c.info.PromptTokens, c.expectedOutputTokens())
+}
+
+// newDemand describes a request with the given tokens of prompt and expected output.
+func newDemand(route *catalog.Route, service *catalog.Service, promptTokens, outputTokens int) balance.Demand {
+	d := balance.Demand{MemoryTokens: promptTokens + outputTokens}
+	if route.Kind == catalog.Stream && service.Engine != nil {
+		d.PromptTokens, d.TokensPerEvent = promptTokens, max(service.Engine.TokensPerEvent, 1)
+		d.Events = outputTokens / d.TokensPerEvent
+		d.FirstEventTarget, d.MaxEventGap = route.LatencyTarget.Seconds(), route.MaxEventGap.Seconds()
 	}
 	return d
 }
