Choose from the usual sample within a data centre while loads are fresh

Cause: the smaller sample for a part of the engines is for loads that are known late; with loads some 20 ms old first events came some 30 ms later. Change: the sample shrinks only while the peers' reports are older than 0.3 s on the mean.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -41,3 +41,19 @@
 	}
 	return out
 }
+
+// freshViewAge is the mean age of the peers' reports up to which loads count as fresh. Peers report
+// changes at once and otherwise every 0.2 s, or a little less often on sites of more than 64 hosts.
+const freshViewAge = 300 * time.Millisecond
+
+// ViewsAreFresh reports whether the loads that peers put on upstreams are known as of a moment ago.
+func (t *Tracker) ViewsAreFresh(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expireReports(now)
+	age := time.Duration(0)
+	for _, r := range t.peerReports {
+		age += now.Sub(r.receivedAt)
+	}
+	return age <= freshViewAge*time.Duration(len(t.peerReports))
+}
--- a/internal/balance/leaving_test.go
+++ b/internal/balance/leaving_test.go
@@ -41,3 +41,15 @@
 	}
 	return out
 }
+
+// Guards against hosts that trust loads of which they have heard nothing for a while.
+func TestViewsAreFreshWhilePeersReport(t *testing.T) {
+	tracker, now := NewTracker(), time.Unix(1000, 0)
+	require.True(t, tracker.ViewsAreFresh(now), "without peers the own loads are all")
+	tracker.SetPeerReport("h2", nil, now)
+	tracker.SetPeerReport("h3", nil, now)
+	require.True(t, tracker.ViewsAreFresh(now.Add(250*time.Millisecond)))
+	require.False(t, tracker.ViewsAreFresh(now.Add(500*time.Millisecond)))
+	tracker.UpdatePeerReport("h2", nil, now.Add(500*time.Millisecond))
+	require.True(t, tracker.ViewsAreFresh(now.Add(500*time.Millisecond)))
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -57,7 +57,7 @@
 	sampleAboveHosts = 16
 	// sampleSize is compared with other sizes in docs/decisions/front-end.md.
 	sampleSize = 6
-	// minPartSample is the smallest sample of a part of the upstreams.
+	// minPartSample is the smallest sample.
 	minPartSample = 2
 	// preselectionSize is the number of random upstreams from which the sample is drawn.
 	// It holds four samples, so that one with capacity is found unless most engines are
@@ -103,14 +103,13 @@
 }
 
 // Pick returns the index of the candidate with the lowest cost for a request, or -1 without
-// candidates. Ties are broken at random. With many hosts it chooses among a random sample. Part is
-// the share of the service's upstreams that the candidates are taken from, for example those of one
-// data centre; the sample is smaller by it, since hosts with outdated views would otherwise choose
-// the same upstreams of the part.
-func Pick(candidates []Candidate, d Demand, hosts int, part float64, random *rand.Rand) int {
+// candidates. Ties are broken at random. With many hosts it chooses among a random sample, which
+// samplePart, from 0 to 1, makes smaller: few candidates and outdated views would otherwise lead many
+// hosts to the same ones.
+func Pick(candidates []Candidate, d Demand, hosts int, samplePart float64, random *rand.Rand) int {
 	order := random.Perm(len(candidates))
 	if Samples(hosts) {
-		order = sampleUsable(candidates, order, d, max(int(math.Round(part*sampleSize)), minPartSample))
+		order = sampleUsable(candidates, order, d, max(int(math.Round(samplePart*sampleSize)), minPartSample))
 	}
 	best, lowestCost := -1, 0.0
 	for _, i := range order {
--- a/internal/balance/play_test.go
+++ b/internal/balance/play_test.go
@@ -247,7 +247,11 @@
 						there, thereIndex = append(there, c), append(thereIndex, index[i])
 					}
 				}
-				if chosen := Pick(there, r.demand, p.hosts, float64(len(there))/float64(len(candidates)), random); chosen >= 0 && ServesInTime(there[chosen], r.demand) {
+				samplePart := 1.0
+				if p.viewAge > freshViewAge {
+					samplePart = float64(len(there)) / float64(len(candidates))
+				}
+				if chosen := Pick(there, r.demand, p.hosts, samplePart, random); chosen >= 0 && ServesInTime(there[chosen], r.demand) {
 					best = thereIndex[chosen]
 				}
 			}
--- a/internal/frontend/leaving.go
+++ b/internal/frontend/leaving.go
@@ -43,7 +43,7 @@
 func (f *FrontEnd) updateLeaving(now time.Time) {
 	cat := f.gateway.Catalog()
 	if !f.settings.Placement.DataCentrePlan || cat.Configuration == nil || !balance.Samples(f.liveHostCount()) || f.members.Cells().Divided() {
-		f.gateway.SetLeavePlans(nil)
+		f.gateway.SetLeavePlans(nil, true)
 		return
 	}
 	plans := make(map[string]spill.Plan)
@@ -67,7 +67,7 @@
 		f.reportPlan(service.Name, plan)
 	}
 	maps.DeleteFunc(f.leaving.controllers, func(service string, _ *spill.Controller) bool { return !lo.HasKey(plans, service) })
-	f.gateway.SetLeavePlans(plans)
+	f.gateway.SetLeavePlans(plans, f.loadTracker.ViewsAreFresh(now))
 }
 
 // toleratedWait is the wait for the first event that the callers of a service tolerate.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -41,9 +41,9 @@
 	isHealthy := func(u *catalog.Upstream) bool {
 		return !u.Expired && isUsable(u) && !g.LoadTracker.IsAvoided(u.ID, now)
 	}
-	if dataCentre, part, planned := g.drawDataCentre(service); planned {
+	if dataCentre, samplePart, planned := g.drawDataCentre(service); planned {
 		there := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return u.DataCentre == dataCentre && isHealthy(u) })
-		if u := g.chooseAmongPart(there, part, service, demand, hosts, now); u != nil && g.servesInTime(u, service, demand, now) {
+		if u := g.chooseAmongPart(there, samplePart, service, demand, hosts, now); u != nil && g.servesInTime(u, service, demand, now) {
 			return u
 		}
 	}
@@ -106,14 +106,14 @@
 	return g.chooseAmongPart(candidates, 1, service, demand, hosts, now)
 }
 
-// chooseAmongPart is chooseAmong for candidates that are a part of the service's upstreams.
-func (g *Gateway) chooseAmongPart(candidates []*catalog.Upstream, part float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
+// chooseAmongPart is chooseAmong with a part of the usual sample.
+func (g *Gateway) chooseAmongPart(candidates []*catalog.Upstream, samplePart float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
 	skippedLimited := false
 	for len(candidates) > 0 {
 		balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
 		g.randomMu.Lock()
-		best := balance.Pick(balanceCandidates, demand, hosts, part, g.random)
+		best := balance.Pick(balanceCandidates, demand, hosts, samplePart, g.random)
 		if g.PlainPolicy {
 			best = balance.PickFewestRequests(views, g.random)
 		}
--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -50,7 +50,7 @@
 					g.Speeds.RecordPrompt("s", id, 0, 9000, slow*time.Second, now)
 				}
 				g.Speeds.Refresh(now)
-				g.SetLeavePlans(map[string]spill.Plan{"s": {Shares: []spill.Share{{DataCentre: "dc-1", Part: 0.3}}}})
+				g.SetLeavePlans(map[string]spill.Plan{"s": {Shares: []spill.Share{{DataCentre: "dc-1", Part: 0.3}}}}, true)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
 	"github.com/rattanscale/rattanscale/internal/retry"
-	"github.com/rattanscale/rattanscale/internal/spill"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
 
@@ -92,7 +91,7 @@
 	notices          notices
 
 	versionRules atomic.Pointer[map[string]catalog.VersionRule]
-	leavePlans   atomic.Pointer[map[string]spill.Plan]
+	leavePlans   atomic.Pointer[leavePlans]
 	retryLimiter *retry.WindowLimiter
 	suspects     *Suspects
 	promptParts  *promptparts.Table
@@ -164,9 +163,6 @@
 // SetVersionRules replaces the rules that divide requests between versions, by service.
 func (g *Gateway) SetVersionRules(rules map[string]catalog.VersionRule) { g.versionRules.Store(&rules) }
 
-// SetLeavePlans replaces the plans by which requests leave the data centre, by service.
-func (g *Gateway) SetLeavePlans(plans map[string]spill.Plan) { g.leavePlans.Store(&plans) }
-
 // StartDrain makes the gateway refuse requests that are not expected to finish before
 // end. From strictFrom on, when callers know that the host is leaving, it accepts only
 // requests that are certain to finish in time, because another host can serve the rest.
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -29,7 +29,7 @@
 	g, service := newManyEngineGateway(60, func(i int, u *catalog.Upstream) { u.DataCentre = fmt.Sprintf("dc-%d", i%3) })
 	service.ColdRate = 0
 	demand := balance.Demand{MemoryTokens: 1000}
-	g.SetLeavePlans(map[string]spill.Plan{"s": {Shares: []spill.Share{{DataCentre: "dc-1", Part: 0.2}, {DataCentre: "dc-2", Part: 0.1}}}})
+	g.SetLeavePlans(map[string]spill.Plan{"s": {Shares: []spill.Share{{DataCentre: "dc-1", Part: 0.2}, {DataCentre: "dc-2", Part: 0.1}}}}, true)
 	chosen := countChoices(g, service, demand)
 	require.InDelta(t, 0.2, chosen["dc-1"], 0.05)
 	require.InDelta(t, 0.1, chosen["dc-2"], 0.05)
@@ -39,7 +39,7 @@
 		}
 	}
 	require.InDelta(t, 1, countChoices(g, service, demand)["dc-2"], 0.01, "the other two are full")
-	g.SetLeavePlans(nil)
+	g.SetLeavePlans(nil, true)
 	require.InDelta(t, 1, countChoices(g, service, demand)["dc-2"], 0.01)
 }
 
