--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -60,16 +60,20 @@
 	isHealthy := func(u *catalog.Upstream) bool {
 		return !u.Expired && isUsable(u) && !g.LoadTracker.IsAvoided(u.ID, now)
 	}
-	if dataCentre, part, planned := g.drawDataCentre(service); planned {
+	if dataCentre, samplePart, planned := g.drawDataCentre(service); planned {
 		there := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return u.DataCentre == dataCentre && isHealthy(u) })
-		if u := g.chooseAmongPart(admit, there, part, service, demand, hosts, now); u != nil && g.servesInTime(u, service, demand, now) {
+		inTime := g.fitting(there, service, now, func(c balance.Candidate) bool { return balance.ServesInTime(c, demand) })
+		if u := g.chooseAmongPart(admit, inTime, samplePart, service, demand, hosts, now); u != nil {
 			return u
 		}
 	}
 	// Plain upstreams are few and their requests are short, so all hosts share them.
 	if inOwnCell, divided := g.Cell(); divided && service.Engine != nil && !g.PlainPolicy {
 		cellUpstreams := g.preselect(upstreams, balance.PreselectionSize(hosts), func(u *catalog.Upstream) bool { return inOwnCell(u.DataCentre, u.ID) && isHealthy(u) })
-		if u := g.chooseAmong(admit, cellUpstreams, service, demand, hosts, now); u != nil && g.hasRoom(u, service, demand.MemoryTokens, now) {
+		withRoom := g.fitting(cellUpstreams, service, now, func(c balance.Candidate) bool {
+			return !balance.AllFull([]balance.Candidate{c}, demand.MemoryTokens)
+		})
+		if u := g.chooseAmong(admit, withRoom, service, demand, hosts, now); u != nil {
 			return u
 		}
 	}
@@ -89,11 +93,11 @@
 	return !balance.AllFull([]balance.Candidate{c}, tokens)
 }
 
-// servesInTime reports whether the upstream has capacity for the request and is not expected to
-// serve it late.
-func (g *Gateway) servesInTime(u *catalog.Upstream, service *catalog.Service, demand balance.Demand, now time.Time) bool {
-	c := g.newCandidate(u, service, g.LoadTracker.Views([]string{u.ID}, now)[0])
-	return balance.ServesInTime(c, demand)
+// fitting returns the upstreams that fit as candidates. It is asked before an upstream is admitted, so
+// that nothing is taken from this host's share of one that the request isn't sent to.
+func (g *Gateway) fitting(upstreams []*catalog.Upstream, service *catalog.Service, now time.Time, fits func(balance.Candidate) bool) []*catalog.Upstream {
+	views := g.LoadTracker.Views(lo.Map(upstreams, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
+	return lo.Filter(upstreams, func(u *catalog.Upstream, i int) bool { return fits(g.newCandidate(u, service, views[i])) })
 }
 
 // preselect returns up to limit eligible upstreams, starting at a random position so
@@ -125,14 +129,14 @@
 	return g.chooseAmongPart(admit, candidates, 1, service, demand, hosts, now)
 }
 
-// chooseAmongPart is chooseAmong for candidates that are a part of the service's upstreams.
-func (g *Gateway) chooseAmongPart(admit admission, candidates []*catalog.Upstream, part float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
+// chooseAmongPart is chooseAmong with a part of the usual sample.
+func (g *Gateway) chooseAmongPart(admit admission, candidates []*catalog.Upstream, samplePart float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
 	skippedLimited := false
 	for len(candidates) > 0 {
 		balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
 		g.randomMu.Lock()
-		best := balance.Pick(balanceCandidates, demand, hosts, part, g.random)
+		best := balance.Pick(balanceCandidates, demand, hosts, samplePart, g.random)
 		if g.PlainPolicy {
 			best = balance.PickFewestRequests(views, g.random)
 		}
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -159,7 +159,7 @@
 	})
 	out.Upstreams = out.Upstreams[:min(max(q.Upstreams, 1), maxWhereUpstreams, len(out.Upstreams))]
 	if plans := g.leavePlans.Load(); plans != nil {
-		if plan, planned := (*plans)[service.Name]; planned {
+		if plan, planned := plans.byService[service.Name]; planned {
 			out.Planned, out.Leaving = true, make(map[string]float64)
 			for _, share := range plan.Shares {
 				out.Leaving[share.DataCentre] = share.Part
