Let calls of duties wait for their rate

A host refused its own second order within 80 ms, so that orders for several data centres at once would have failed but for the first. Calls now wait for the permitted rate within their time, with a burst of half a second (TestCallsWaitForTheirRate).

--- a/internal/frontend/duties.go
+++ b/internal/frontend/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -67,7 +68,7 @@
 	}
 	d := &duties{
 		frontEnd: f, api: f.platform.DutyAPI(s.Address), process: strconv.FormatInt(f.startedAt.UnixNano(), 36),
-		limiter: rate.NewLimiter(callRate(s), 1), clock: usage.NewClock(time.Now, duty.Now), windows: usage.Windows{Width: s.UsageWindow},
+		limiter: newCallLimiter(s), clock: usage.NewClock(time.Now, duty.Now), windows: usage.Windows{Width: s.UsageWindow},
 	}
 	d.runner = duty.NewRunner(duty.Options{
 		Host: f.settings.Host.Name, Process: d.process, Term: s.Term, PauseMargin: s.PauseMargin, Store: store, Rank: d.rank,
@@ -82,13 +83,23 @@
 	return d
 }
 
-// callRate is this host's part of the permitted rate of calls. The duties may be held by as many
-// hosts, and two holders may overlap.
-func callRate(s Duties) rate.Limit {
+// newCallLimiter returns a limiter with this host's part of the permitted rate of calls. The duties
+// may be held by as many hosts, and two holders may overlap.
+func newCallLimiter(s Duties) *rate.Limiter {
 	if s.CallsPerSecond == 0 {
-		return rate.Inf
+		return rate.NewLimiter(rate.Inf, 0)
 	}
-	return rate.Limit(s.CallsPerSecond / float64(2*len(s.Names)))
+	perSecond := s.CallsPerSecond / float64(2*len(s.Names))
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond/2), 1))
+}
+
+// limited makes a call once the rate allows it. A call that would have to wait for longer than its
+// time is not made.
+func (d *duties) limited(ctx context.Context, call func() error) error {
+	if err := d.limiter.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", duty.ErrThrottled, err)
+	}
+	return call()
 }
 
 func (d *duties) addUsage(s Duties) {
@@ -97,10 +108,7 @@
 	d.reporter = &usage.Reporter{
 		Table: d.counts, Clock: d.clock, Windows: d.windows, Delay: s.UsageDelay, StartedAt: d.clock.Now(), Metrics: f.metrics.Set(), Log: f.log,
 		Send: func(ctx context.Context, o duty.Order, r usage.Report) error {
-			if !d.limiter.Allow() {
-				return duty.ErrThrottled
-			}
-			return d.api.ReportUsage(ctx, o, r)
+			return d.limited(ctx, func() error { return d.api.ReportUsage(ctx, o, r) })
 		},
 	}
 	d.usage = d.runner.Add(DutyUsage, func(ctx context.Context, held *duty.Duty) { d.reporter.Run(ctx, held) })
--- a/internal/frontend/scaling.go
+++ b/internal/frontend/scaling.go
@@ -36,10 +36,7 @@
 	sender = orders.NewSender(held, orders.Sender{
 		FencingEnforced: s.FencingEnforced, Now: duty.Now, Log: d.frontEnd.log,
 		Call: func(ctx context.Context, o duty.Order, service, dataCentre string, count int) error {
-			if !d.limiter.Allow() {
-				return duty.ErrThrottled
-			}
-			return d.api.OrderCount(ctx, o, service, dataCentre, count)
+			return d.limited(ctx, func() error { return d.api.OrderCount(ctx, o, service, dataCentre, count) })
 		},
 	})
 }
