Cancel a lost generation before another engine runs it

The daemon sent a request whose engine was lost to another one, and left it to the owner of the pool to cancel the run.

The relay cancels the run at the lost engine before it retries. An engine that does not answer counts as unreachable.

TestLostRunIsCancelledBeforeAnotherEngineRunsIt fails without the call and passes.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -74,6 +74,7 @@
 		if err == nil || !g.mayRetry(ctx, err, attempt) {
 			return err
 		}
+		g.stopLostRun(ctx, t, err)
 		if !failure.Is(err, failure.DeadlineExceeded) { // an expired permit says nothing about the upstream
 			g.excludedUpstreams = append(g.excludedUpstreams, t.upstream.Name)
 		}
@@ -81,6 +82,19 @@
 	}
 }
 
+// stopLostRun cancels the request at an upstream that was lost while it may have run it, before
+// another one runs it: only the connection may have been lost. An upstream that does not answer
+// the call counts as unreachable.
+func (g *generateCall) stopLostRun(ctx context.Context, t target, cause error) {
+	var lost upstreamLostError
+	if !errors.As(cause, &lost) {
+		return
+	}
+	if err := g.relay.Engine.Cancel(ctx, t.upstream.Address, g.call.attemptID); err != nil {
+		g.relay.Log.Info("lost upstream did not answer the cancellation", "request", g.call.RequestID, "upstream", t.upstream.Name, "error", err.Error())
+	}
+}
+
 // runAttempt sends the request to one upstream and relays its tokens.
 func (g *generateCall) runAttempt(ctx context.Context, t target) error {
 	if err := t.heldPermit.MaySend(); err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/rattanscale/rattanscale/internal/permit"
 	"github.com/rattanscale/rattanscale/internal/standin"
 	"github.com/rattanscale/rattanscale/internal/stream"
+	"github.com/rattanscale/rattanscale/internal/upstream"
 	"github.com/rattanscale/rattanscale/internal/upstream/engine"
 )
 
@@ -263,6 +264,48 @@
 	requireCompleteStream(t, receivedStream{events: received.events, tokens: second, lastData: received.lastData}, 100)
 }
 
+// orderingEngine records the order of the calls that start and end runs.
+type orderingEngine struct {
+	upstream.Engine
+	mu    sync.Mutex
+	calls []string
+}
+
+func (e *orderingEngine) Generate(ctx context.Context, address string, request upstream.GenerateRequest) (upstream.TokenStream, error) {
+	e.record("generate " + address)
+	return e.Engine.Generate(ctx, address, request)
+}
+
+func (e *orderingEngine) Cancel(ctx context.Context, address, requestID string) error {
+	err := e.Engine.Cancel(ctx, address, requestID)
+	e.record("cancelled " + address)
+	return err
+}
+
+func (e *orderingEngine) record(call string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls = append(e.calls, call)
+}
+
+// Guards against a request that another engine runs while the lost one may go on with it.
+func TestLostRunIsCancelledBeforeAnotherEngineRunsIt(t *testing.T) {
+	f := newFixture(t, 2, entity.DeliverRestart)
+	order := &orderingEngine{Engine: f.relay.Engine}
+	f.relay.Engine = order
+	call := f.call("r1", "tokens=100")
+	call.AcceptRestart = true
+	received, err := f.generate(t, call, 20, func() { f.injectFault(standin.FaultColdRestart) })
+	require.NoError(t, err)
+	require.Equal(t, stream.EventDone, received.events[len(received.events)-1])
+	order.mu.Lock()
+	defer order.mu.Unlock()
+	require.GreaterOrEqual(t, len(order.calls), 3)
+	first := strings.TrimPrefix(order.calls[0], "generate ")
+	require.Equal(t, []string{"generate " + first, "cancelled " + first}, order.calls[:2])
+	require.True(t, strings.HasPrefix(order.calls[2], "generate "))
+}
+
 // Guards against restarting the stream of a caller that does not accept restarts: it must
 // get a typed error.
 func TestLostEngineIsTypedErrorWithoutAcceptRestart(t *testing.T) {
