Keep closed connections out of the memory budget

A handler that still ran after its connection had been closed could reserve memory that nothing freed afterwards, so the room would shrink with each. Reservations of closed connections no longer count; the ledger's test failed before with 5,000 bytes.

--- a/internal/membudget/ledger.go
+++ b/internal/membudget/ledger.go
@@ -104,6 +104,8 @@
 	ended bool
 	// dropped is set once the connection no longer counts towards the limit of connections.
 	dropped bool
+	// removed is set once the connection has been closed.
+	removed bool
 	conn    *Conn
 }
 
@@ -173,6 +175,7 @@
 		return
 	}
 	l.release(e)
+	e.removed = true
 	delete(l.entries, e)
 	if !e.dropped {
 		l.dropUnits(e)
@@ -209,6 +212,9 @@
 func (l *ledger) release(e *entry) { l.add(e, -e.held) }
 
 func (l *ledger) add(e *entry, n int64) {
+	if e.removed { // its server is still ending the request, and frees nothing later
+		return
+	}
 	if e.large() {
 		l.largeBytes -= e.held
 	}
--- a/internal/membudget/ledger_test.go
+++ b/internal/membudget/ledger_test.go
@@ -120,7 +120,10 @@
 	require.Equal(t, refused, l.admit(refused, now), "no other can end")
 	for _, e := range []*entry{busy, idleLong, idleShort, added, refused} {
 		l.remove(e)
+		granted, _ := l.reserve(e, 1000, now) // its handler may still run
+		require.True(t, granted)
 	}
+	require.Zero(t, l.requestBytes, "nobody frees it")
 	require.Zero(t, l.units)
 	require.Empty(t, l.addressConns)
 }
