--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+
+	"github.com/rattanscale/rattanscale/internal/enginespeed"
 )
 
 // View is what a host knows of an upstream when it chooses one.
@@ -29,11 +31,15 @@
 	MemoryTokens int
 	// LastResort candidates are chosen only if there are no others.
 	LastResort bool
+	// Speed is the speed of the engine. It is unknown if the engines of the service do not
+	// differ.
+	Speed enginespeed.Speed
 }
 
 const (
 	// remotePenalty is how much higher the load of a local upstream may be, as a share
-	// of capacity, before one in another data centre is preferred.
+	// of capacity, before one in another data centre is preferred. It counts where no plan
+	// decides which requests leave, or where the chosen data centre has no room.
 	remotePenalty = 0.30
 	// errorPenalty is the load, as a share of capacity, added to an upstream that always
 	// fails.
@@ -42,8 +48,8 @@
 	avoidPenalty = 100.0
 	// lastResortPenalty ranks candidates of last resort behind avoided ones.
 	lastResortPenalty = 1000.0
-	// pendingPromptScale is the number of prompt tokens that an engine processes in
-	// about a second while it generates; a new prompt waits for those before it.
+	// pendingPromptScale is the number of prompt tokens that an engine of unknown speed
+	// processes in about a second while it generates; a new prompt waits for those before it.
 	pendingPromptScale = 7000
 	// sampleAboveHosts is the number of hosts above which a choice is made among a
 	// random sample: with many hosts and outdated views, all would choose the same least
@@ -51,15 +57,20 @@
 	sampleAboveHosts = 16
 	// sampleSize is compared with other sizes in docs/decisions/front-end.md.
 	sampleSize = 6
+	// minPartSample is the smallest sample of a part of the upstreams.
+	minPartSample = 2
 	// preselectionSize is the number of random upstreams from which the sample is drawn.
 	// It holds four samples, so that one with capacity is found unless most engines are
 	// full.
 	preselectionSize = 24
 )
 
+// Samples reports whether a choice is made among a sample of the upstreams.
+func Samples(hosts int) bool { return hosts > sampleAboveHosts }
+
 // PreselectionSize returns the number of random upstreams that a choice considers.
 func PreselectionSize(hosts int) int {
-	if hosts > sampleAboveHosts {
+	if Samples(hosts) {
 		return preselectionSize
 	}
 	return math.MaxInt
@@ -76,33 +87,53 @@
 	return max(bySlots, float64(c.Load.Tokens+tokens)/float64(c.MemoryTokens))
 }
 
-// cost ranks the candidate for a request that holds the given tokens of memory; lower is
-// better.
-func (c *Candidate) cost(tokens int) float64 {
-	cost := c.projectedUtilisation(tokens) + float64(c.Load.PendingPromptTokens)/pendingPromptScale + c.ErrorShare*errorPenalty
+// CostParts are the parts of a candidate's cost for a request, each as a share of capacity.
+type CostParts struct {
+	// Load is the use of slots or memory including the request.
+	Load float64 `json:"load"`
+	// Wait is the wait for the first event, and the risk that events are late.
+	Wait float64 `json:"wait"`
+	// Errors is for failed exchanges, DataCentre for one in another data centre.
+	Errors     float64 `json:"errors"`
+	DataCentre float64 `json:"data-centre"`
+	// Avoided is for a recent failure or an entry that is missing.
+	Avoided float64 `json:"avoided"`
+}
+
+// Total is the cost that ranks candidates; lower is better.
+func (p CostParts) Total() float64 { return p.Load + p.Wait + p.Errors + p.DataCentre + p.Avoided }
+
+// CostParts returns the parts of the candidate's cost for a request.
+func (c *Candidate) CostParts(d Demand) CostParts {
+	parts := CostParts{Load: c.projectedUtilisation(d.MemoryTokens), Wait: c.waitCost(d), Errors: c.ErrorShare * errorPenalty}
 	if !c.Local {
-		cost += remotePenalty
+		parts.DataCentre = remotePenalty
 	}
 	if c.Avoid {
-		cost += avoidPenalty
+		parts.Avoided += avoidPenalty
 	}
 	if c.LastResort {
-		cost += lastResortPenalty
+		parts.Avoided += lastResortPenalty
 	}
-	return cost
+	return parts
 }
 
-// Pick returns the index of the candidate with the lowest cost for a request that holds
-// the given tokens of memory, or -1 without candidates. Ties are broken at random. With
-// many hosts it chooses among a random sample.
-func Pick(candidates []Candidate, tokens, hosts int, random *rand.Rand) int {
+// Cost ranks the candidate for a request; lower is better.
+func (c *Candidate) Cost(d Demand) float64 { return c.CostParts(d).Total() }
+
+// Pick returns the index of the candidate with the lowest cost for a request, or -1 without
+// candidates. Ties are broken at random. With many hosts it chooses among a random sample. Part is
+// the share of the service's upstreams that the candidates are taken from, for example those of one
+// data centre; the sample is smaller by it, since hosts with outdated views would otherwise choose
+// the same upstreams of the part.
+func Pick(candidates []Candidate, d Demand, hosts int, part float64, random *rand.Rand) int {
 	order := random.Perm(len(candidates))
-	if hosts > sampleAboveHosts {
-		order = sampleUsable(candidates, order, tokens)
+	if Samples(hosts) {
+		order = sampleUsable(candidates, order, d, max(int(math.Round(part*sampleSize)), minPartSample))
 	}
 	best, lowestCost := -1, 0.0
 	for _, i := range order {
-		if cost := candidates[i].cost(tokens); best < 0 || cost < lowestCost {
+		if cost := candidates[i].Cost(d); best < 0 || cost < lowestCost {
 			best, lowestCost = i, cost
 		}
 	}
@@ -123,10 +154,10 @@
 
 // sampleUsable returns the first candidates in the given order that are neither avoided
 // nor a last resort, or the whole order if there are none. The sample grows until it
-// holds a candidate with capacity: if most engines are full, a sample of fixed size
-// would often hold only full ones.
-func sampleUsable(candidates []Candidate, order []int, tokens int) []int {
-	sample := make([]int, 0, sampleSize)
+// holds a candidate with capacity on which the request is not expected to be late: if most
+// engines are full or slow, a sample of fixed size would often hold only such ones.
+func sampleUsable(candidates []Candidate, order []int, d Demand, size int) []int {
+	sample := make([]int, 0, size)
 	foundRoom := false
 	for _, i := range order {
 		c := &candidates[i]
@@ -134,8 +165,8 @@
 			continue
 		}
 		sample = append(sample, i)
-		foundRoom = foundRoom || c.projectedUtilisation(tokens) <= 1
-		if foundRoom && len(sample) >= sampleSize {
+		foundRoom = foundRoom || ServesInTime(*c, d)
+		if foundRoom && len(sample) >= size {
 			break
 		}
 	}
@@ -145,6 +176,12 @@
 	return sample
 }
 
+// ServesInTime reports whether the candidate has capacity for a request, and is not likely to serve
+// it late as far as its speed is known.
+func ServesInTime(c Candidate, d Demand) bool {
+	return c.projectedUtilisation(d.MemoryTokens) <= 1 && c.risk(d) < likelyLate
+}
+
 // Overloaded reports whether a request that holds the given tokens of memory would use more than
 // the given share of the candidate's capacity.
 func Overloaded(c Candidate, tokens int, share float64) bool {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,7 +45,9 @@
 	MaxAttempts int
 	// Public routes accept requests without an API key.
 	Public bool
-	Split  []ServiceShare
+	// Priority ranks the requests of the route.
+	Priority Priority
+	Split    []ServiceShare
 }
 
 // Idempotent reports whether a request on the route may run more than once.
@@ -101,6 +103,8 @@
 type Account struct {
 	Name string
 	Keys []string
+	// Priority, if it is stated, takes precedence over that of the route.
+	Priority Priority
 }
 
 // Limits bounds the size and the duration of callers' requests.
@@ -120,6 +124,8 @@
 	Accounts []Account
 	Limits   Limits
 
+	// rankedServices holds the services whose requests differ in priority.
+	rankedServices   map[string]bool
 	routesByHostName map[string][]*Route
 	accountsByKey    map[string]*Account
 	servicesByName   map[string]*Service
@@ -143,6 +149,7 @@
 	for i := range c.Services {
 		c.servicesByName[c.Services[i].Name] = &c.Services[i]
 	}
+	c.indexPriorities()
 }
 
 // Route returns the route with the longest prefix that matches the path, or nil. A port
@@ -237,6 +244,8 @@
 	// Share is the fraction of requests that Version receives, from 0 to 1; the other
 	// versions receive the rest.
 	Share float64
+	// RouteShares holds the fractions of the routes that differ from Share.
+	RouteShares map[string]float64
 	// Exclusive sends all requests to Version because the other versions are about to
 	// stop.
 	Exclusive bool
--- a/internal/frontend/rollouts.go
+++ b/internal/frontend/rollouts.go
@@ -185,7 +185,9 @@
 			r.writePhase(ctx, t)
 		}
 		// The upstreams of the old version stop when the store holds the phase, not before.
-		rules[service] = catalog.VersionRule{Version: order.Version, Share: r.requestShare(t, known, now), Exclusive: t.storedPhase == catalog.RolloutCompleted}
+		rule := catalog.VersionRule{Version: order.Version, Exclusive: t.storedPhase == catalog.RolloutCompleted}
+		rule.Share, rule.RouteShares = r.requestShares(t, known, now)
+		rules[service] = rule
 	}
 	r.frontEnd.gateway.SetVersionRules(rules)
 }
@@ -198,7 +200,7 @@
 	t = &activeRollout{
 		order: order, phase: catalog.RolloutRunning, evidence: rollout.NewEvidence(),
 		counter: rollout.NewCounter(r.frontEnd.evidenceSource(), evidenceIncarnation(order)),
-		canary:  rollout.Canary{Service: order.Service, Version: order.Version, StartedAt: now, Duration: order.Duration},
+		canary:  rollout.Canary{Service: order.Service, Version: order.Version, StartedAt: now, Duration: order.Duration, Bounds: r.frontEnd.exposureBounds()},
 	}
 	r.active[order.Service] = t
 	r.frontEnd.log.Info("rollout ordered", "service", order.Service, "version", order.Version, "within", order.Duration, "revision", order.Revision)
@@ -276,11 +278,11 @@
 	})
 }
 
-// requestShare returns the fraction of the service's requests that goes to the new version
-// until the store holds that it is completed.
-func (r *rollouts) requestShare(t *activeRollout, known bool, now time.Time) float64 {
+// requestShares returns the fraction of the service's requests that goes to the new version
+// until the store holds that it is completed, and the larger fractions of single routes.
+func (r *rollouts) requestShares(t *activeRollout, known bool, now time.Time) (share float64, byRoute map[string]float64) {
 	if !known || t.phase == catalog.RolloutRolledBack {
-		return 0
+		return 0, nil
 	}
 	service, f := t.order.Service, r.frontEnd
 	usable, onVersion := 0, 0
@@ -293,9 +295,14 @@
 			}
 		}
 	}
-	bounds := rollout.ExposureBounds{Share: f.settings.Rollout.Share, Slack: f.settings.Rollout.Slack}
 	perSecond := f.gateway.RequestRate(service, now) * float64(f.sharingHostCount())
-	return t.canary.RequestShare(bounds, perSecond, float64(onVersion)/float64(max(usable, 1)))
+	capacity := float64(onVersion) / float64(max(usable, 1))
+	share = t.canary.RequestShare(perSecond, capacity)
+	return share, t.canary.RouteShares(now, t.evidence, share, capacity)
+}
+
+func (f *FrontEnd) exposureBounds() rollout.ExposureBounds {
+	return rollout.ExposureBounds{Share: f.settings.Rollout.Share, Slack: f.settings.Rollout.Slack}
 }
 
 // writesPhase reports whether this host writes a phase that differs from the stored one.
--- a/internal/gateway/migrate.go
+++ b/internal/gateway/migrate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"github.com/rattanscale/rattanscale/internal/balance"
 	"github.com/rattanscale/rattanscale/internal/catalog"
 	"github.com/rattanscale/rattanscale/internal/guard"
+	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/migration"
 )
 
@@ -243,8 +245,8 @@
 		g.releaseCopy(source, firstCopy.Handle)
 		return destination, fmt.Errorf("%w during the copy", errRunEnded)
 	}
-	finalCopy, err := g.Engines.Copy(ctx, source.Address, run, destination.Address, true)
-	if errors.Is(err, ErrRunNotStopped) {
+	finalCopy, certain, err := g.finalCopy(s, source, destination)
+	if certain && (errors.Is(err, ErrRunNotStopped) || isNotSent(err)) {
 		s.cancelMigration(m)
 		return destination, fmt.Errorf("final copy failed: %w", err)
 	}
@@ -253,6 +255,10 @@
 		m.destination, m.copy = destination, g.Engines.CopyName(source.Address, finalCopy.Handle)
 	case finalCopy.Handle != "": // stopped but not copied: the source still holds the memory
 		m.destination, m.copy = source, g.Engines.CopyName(source.Address, finalCopy.Handle)
+	case !certain:
+		// If the stream ends, the run was stopped or is complete; without framing that looks the
+		// same. In both cases the first copy yields the events that are missing.
+		m.destination, m.copy = destination, g.Engines.CopyName(source.Address, firstCopy.Handle)
 	}
 	close(m.done)
 	g.Metrics.RecordMigration(err == nil, firstCopyDone.Sub(grantedAt), time.Since(firstCopyDone))
@@ -262,6 +268,23 @@
 	return destination, nil
 }
 
+// finalCopy stops a run with its final copy. certain is false if an answer was lost, so that the run
+// may have been stopped whatever the error is. The call is then made once more.
+func (g *Gateway) finalCopy(s *stream, source, destination *catalog.Upstream) (copied CopyResult, certain bool, err error) {
+	call := func() error {
+		ctx, cancel := context.WithTimeout(s.call.ctx, stopCallTimeout)
+		defer cancel()
+		copied, err = g.Engines.Copy(ctx, source.Address, s.call.info.ID, destination.Address, true)
+		return err
+	}
+	var failed *hop.Error
+	if !errors.As(call(), &failed) || failed.Progress == hop.NotSent {
+		return copied, true, err
+	}
+	_ = call()
+	return copied, false, err
+}
+
 // releaseCopy frees an unused copy. The source drops a copy that is not freed after some
 // time.
 func (g *Gateway) releaseCopy(source *catalog.Upstream, handle string) {
@@ -320,16 +343,24 @@
 }
 
 // destinationsAmong returns the given engines that have room for the stream, the one
-// with the most free memory first.
+// with the most free memory first. If their speeds are known, the one that is expected to serve
+// the rest of the stream best comes first.
 func (g *Gateway) destinationsAmong(ids []string, s *stream, cat *catalog.Catalog, service *catalog.Service) []migration.Destination {
 	var out []migration.Destination
+	costs, demand, speedsKnown := make(map[string]float64), s.call.remainingDemand(s), false
 	for i, v := range g.LoadTracker.Views(ids, time.Now()) {
 		c := g.newCandidate(cat.Upstreams[ids[i]], service, v)
 		free := int(migrationOvercommit*float64(c.MemoryTokens)) - c.Load.Tokens
 		if !c.Avoid && c.Load.Requests < c.Slots && free >= s.call.expectedMemoryTokens() {
 			out = append(out, migration.Destination{Engine: ids[i], FreeTokens: free})
+			costs[ids[i]], speedsKnown = c.Cost(demand), speedsKnown || c.Speed.Known()
 		}
 	}
-	slices.SortFunc(out, func(a, b migration.Destination) int { return b.FreeTokens - a.FreeTokens })
+	slices.SortFunc(out, func(a, b migration.Destination) int {
+		if speedsKnown {
+			return cmp.Compare(costs[a.Engine], costs[b.Engine])
+		}
+		return b.FreeTokens - a.FreeTokens
+	})
 	return out
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,6 +36,9 @@
 	// mayHaveRun means that the upstream may have run the request but there is no usable
 	// response.
 	mayHaveRun
+	// runOver means that the upstream has run the request and works on it no more, or cannot be
+	// reached, and that there is no usable response.
+	runOver
 )
 
 var (
@@ -132,10 +135,13 @@
 // the caller must close the response.
 func (c *call) dispatch(u *catalog.Upstream, d Dispatch) (*hop.Response, exchangeResult, error) {
 	now := time.Now()
-	d.Upstream, d.Account, d.Remaining = u, c.account, c.remaining(now)
+	d.Upstream, d.Account, d.Priority, d.Remaining = u, c.account, c.priority, c.remaining(now)
 	c.sends++
 	c.startRun(u, d)
 	c.logEntry.upstream = u.ID
+	if c.service.Engine != nil {
+		c.g.Metrics.RecordDispatch(u.DataCentre == c.g.DataCentre)
+	}
 	response, err := c.g.Pool.Do(c.ctx, u.Address, &hop.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.info.ID,
 		Header: c.g.Protocol.Forward(c.r.Header, d), MaxIdle: maxIdleConnections(c.service.MaxConnections, c.g.HostCount()),
