Count peer connections before their handshake runs

TestSilentConnectionsLeaveDescriptors/peer failed in one of three runs of the whole package on the merged code, with 249 descriptors (bound 192): a connection was counted by the goroutine of its handshake, which the loop that accepts can outrun, and the one closed for it kept its descriptor until its handshake had noticed.

--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -15,15 +15,19 @@
 type pendingHandshakes struct {
 	mu    sync.Mutex
 	conns []net.Conn
+	// removed is signalled when a connection is removed.
+	removed sync.Cond
 }
 
-// add adds a connection and closes the oldest one if there are too many.
+// add adds a connection. If there are too many it closes the oldest one and waits until its
+// handshake has ended, as it holds its descriptor until then.
 func (p *pendingHandshakes) add(conn net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.conns) >= maxPendingHandshakes {
+	p.removed.L = &p.mu
+	for len(p.conns) >= maxPendingHandshakes {
 		_ = p.conns[0].Close()
-		p.conns = slices.Delete(p.conns, 0, 1)
+		p.removed.Wait()
 	}
 	p.conns = append(p.conns, conn)
 }
@@ -33,5 +37,6 @@
 	defer p.mu.Unlock()
 	if i := slices.Index(p.conns, conn); i >= 0 {
 		p.conns = slices.Delete(p.conns, i, i+1)
+		p.removed.Broadcast()
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -73,6 +73,7 @@
 			}
 			return err
 		}
+		s.pending.add(conn)
 		go s.accept(conn)
 	}
 	return nil
@@ -81,7 +82,6 @@
 func (s *Server) accept(conn net.Conn) {
 	defer s.endpoint.tasks.Done()
 	defer context.AfterFunc(s.endpoint.ctx, func() { _ = conn.Close() })()
-	s.pending.add(conn)
 	remote, err := acceptHandshake(conn, s.endpoint.options)
 	s.pending.remove(conn)
 	if err != nil {
