Send an engine order again whose effect isn't seen

Cause: the sender makes no call for the last accepted order, so the planner's repeat reached nobody, and where the platform enforces no fence orders were not repeated while a late one may be executed. Change: the planner marks such an order, and the task passes each order in force on every second.

--- a/internal/frontend/demand.go
+++ b/internal/frontend/demand.go
@@ -88,7 +88,11 @@
 		s.planners[service.Name] = planner
 	}
 	planner.SetService(planned)
-	for _, order := range planner.Decide(now, observations) {
+	decided := planner.Decide(now, observations)
+	for _, order := range decided {
+		if order.Reason == autoscale.Unseen {
+			sender.RepeatNext(service.Name, order.DataCentre)
+		}
 		err := sender.OrderCount(ctx, service.Name, order.DataCentre, order.Count)
 		f.metrics.RecordUpstreamOrder(string(order.Reason), err == nil)
 		if err != nil {
@@ -98,6 +102,15 @@
 		}
 		planner.Confirm(order, now)
 	}
+	// The sender repeats orders that may be undone by an earlier one that is executed late.
+	for _, o := range observations {
+		last, ordered := sender.Last(service.Name, o.DataCentre)
+		if ordered && !lo.ContainsBy(decided, func(d autoscale.Order) bool { return d.DataCentre == o.DataCentre }) {
+			if err := sender.OrderCount(ctx, service.Name, o.DataCentre, last.Count); err != nil {
+				f.log.Info("order of upstreams not repeated", "service", service.Name, "data-centre", o.DataCentre, "count", last.Count, "error", err.Error())
+			}
+		}
+	}
 }
 
 // observe returns the state of each data centre in which a service has upstreams or demand.
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -60,12 +60,15 @@
 	// suspect holds until when an earlier order may still be executed, and repeatAt when the
 	// current one is repeated for that reason.
 	suspect, repeatAt map[string]duty.Instant
+	// unseen holds the orders to send again although they were accepted.
+	unseen map[string]bool
 }
 
 // NewSender returns a sender for a duty.
 func NewSender(h Holding, s Sender) *Sender {
 	s.holding, s.accepted = h, make(map[string]Order)
 	s.suspect, s.repeatAt = make(map[string]duty.Instant), make(map[string]duty.Instant)
+	s.unseen = make(map[string]bool)
 	return &s
 }
 
@@ -97,6 +100,10 @@
 	return out
 }
 
+// RepeatNext makes the next order for a service and data centre go out even if it is the last accepted
+// one, because its effect isn't seen.
+func (s *Sender) RepeatNext(service, dataCentre string) { s.unseen[subject{service, dataCentre}.key()] = true }
+
 // OrderCount orders a number of upstreams unless it is the last accepted order. Errors are those
 // of package duty; after ErrUnknownOutcome the order may be executed later, and ordering again is
 // safe whatever the number.
@@ -110,7 +117,7 @@
 	if ordered && !last.Accepted && s.suspect[key] == 0 {
 		s.suspect[key] = now.Add(lateExecution) // the order of an earlier holder
 	}
-	if ordered && last.Accepted && last.Count == count && !s.mustRepeat(key, now) {
+	if ordered && last.Accepted && last.Count == count && !s.unseen[key] && !s.mustRepeat(key, now) {
 		return nil
 	}
 	if ordered && last.Count != count && now < s.suspect[key] && last.Token == g.Token {
@@ -149,6 +156,7 @@
 	s.repeatAt[key] = now.Add(repeatInterval)
 	switch {
 	case err == nil:
+		delete(s.unseen, key)
 		s.accepted[key] = Order{Count: count, Token: token, Accepted: true}
 		s.Log.Info("upstreams ordered", "service", to.service, "data-centre", to.dataCentre, "count", count, "token", token)
 	case errors.Is(err, duty.ErrUnknownOutcome):
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -119,3 +119,19 @@
 	require.True(t, ok)
 	require.Equal(t, 4, o.Count)
 }
+
+// Guards against an accepted order that had no effect and is never given again.
+func TestOrderWithoutEffectIsSentAgain(t *testing.T) {
+	calls := 0
+	s := NewSender(&fakeDuty{token: 1}, Sender{FencingEnforced: true, Now: func() duty.Instant { return duty.Instant(time.Hour) }, Log: logr.Discard(),
+		Call: func(context.Context, duty.Order, string, string, int) error { calls++; return nil }})
+	for range 3 {
+		require.NoError(t, s.OrderCount(t.Context(), "s", "a", 5))
+	}
+	require.Equal(t, 1, calls)
+	s.RepeatNext("s", "a")
+	for range 3 {
+		require.NoError(t, s.OrderCount(t.Context(), "s", "a", 5))
+	}
+	require.Equal(t, 2, calls)
+}
