--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -224,6 +224,9 @@
 
 func (p *Planner) record(now time.Time, o Observation) {
 	c := p.centre(o.DataCentre)
+	if c.takenOver && c.orderedAt.IsZero() {
+		c.orderedAt = now // its effect is awaited from now on
+	}
 	need := p.service.Need(o.Demand)
 	if c.recordedAt.IsZero() {
 		c.recordedAt = now
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -253,3 +253,15 @@
 		}
 	}
 }
+
+// Guards against an order of an earlier holder that was never carried out and is taken for done.
+func TestOrderOfAnEarlierHolderWithoutEffectIsRepeated(t *testing.T) {
+	p, now := NewPlanner(service, map[string]int{"a": 20}), time.Unix(0, 0)
+	var repeated []Order
+	for range 20 {
+		now = now.Add(time.Second)
+		repeated = append(repeated, p.Decide(now, []Observation{observe("a", 10, 290_000)})...)
+	}
+	require.NotEmpty(t, repeated)
+	assert.Equal(t, Order{DataCentre: "a", Count: 20, Reason: Unseen}, repeated[0])
+}
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -357,10 +357,15 @@
 	if !held || g.Token != token {
 		return ErrNotHeld
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
+	// The claim bounds the call also if the process was suspended since it was confirmed.
 	startedAt := d.runner.Now()
-	err := call(ctx, Order{Holder: d.runner.Host, Token: token, Until: d.runner.Now().Add(callTime)})
+	until := min(startedAt.Add(callTime), g.Until)
+	if startedAt >= until {
+		return ErrNotHeld
+	}
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(startedAt))
+	defer cancel()
+	err := call(ctx, Order{Holder: d.runner.Host, Token: token, Until: until})
 	d.runner.Metrics.GetOrCreateCounter(fmt.Sprintf(`rattanscale_duty_calls_total{duty=%q,outcome=%q}`, d.Name, outcome(err))).Inc()
 	if err != nil {
 		d.runner.Log.Info("duty call failed", "duty", d.Name, "token", token, "error", err.Error())
--- a/internal/duty/tracker.go
+++ b/internal/duty/tracker.go
@@ -120,6 +120,8 @@
 	// notBefore is the earliest time of the next claim. A host that has acted must not act under
 	// a new token within a term if another host has acted in between.
 	notBefore Instant
+	// mayHaveActed is set from a written claim until its loss, also while its token is retired.
+	mayHaveActed bool
 	// retired is the highest token that this process must not use again.
 	retired uint64
 	// yieldedUntil is the end of the time in which this host leaves the duty to others.
@@ -204,7 +206,7 @@
 		t.unchangedSince = endedAt
 	}
 	t.seen, t.known, t.mustRead = o, true, false
-	if t.token != 0 && (!t.ownsRow() || o.Token != t.token) {
+	if t.mayHaveActed && (!t.ownsRow() || t.token != 0 && o.Token != t.token) {
 		t.lose(endedAt)
 	}
 }
@@ -245,6 +247,10 @@
 // Wrote records the result of a write of a row that started and ended at the given times.
 // revision is the row's new revision if it was written.
 func (t *Tracker) Wrote(row Row, result WriteResult, revision uint64, startedAt, endedAt Instant) {
+	if row.Holder == "" {
+		// Another host may claim the duty from now on, whatever the outcome.
+		t.lose(endedAt)
+	}
 	switch result {
 	case Written:
 		t.seen = Observation{Row: row, Revision: revision, StoreRevision: max(revision, t.seen.StoreRevision)}
@@ -253,7 +259,7 @@
 			t.lose(endedAt)
 			return
 		}
-		t.token, t.confirmedAt = row.Token, startedAt
+		t.token, t.confirmedAt, t.mayHaveActed = row.Token, startedAt, true
 	case Conflict:
 		// The row may still name this process, if an earlier write was executed late.
 		t.mustRead = true
@@ -267,10 +273,10 @@
 
 // lose ends this process's claim.
 func (t *Tracker) lose(now Instant) {
-	if t.token != 0 {
+	if t.mayHaveActed {
 		t.notBefore = max(t.notBefore, now.Add(t.term))
 	}
-	t.token = 0
+	t.token, t.mayHaveActed = 0, false
 }
 
 // Retire ends the use of a token: the platform has rejected it, or a call that bore it may still
--- a/internal/duty/tracker_test.go
+++ b/internal/duty/tracker_test.go
@@ -374,3 +374,41 @@
 		}
 	}
 }
+
+// Guards against a host that acts again within a term after another host has acted, because its own
+// token was retired when it lost the row.
+func TestHostWithARetiredTokenWaitsForATerm(t *testing.T) {
+	now := Instant(time.Hour)
+	tracker := NewTracker("a", "a1", testTerm, testMargin, now.Add(-testTerm))
+	tracker.Observed(Observation{StoreRevision: 5}, now, now)
+	row, expected := tracker.Proposal(Claim, nil)
+	require.Zero(t, expected)
+	tracker.Wrote(row, Written, 6, now, now)
+	grant, held := tracker.Grant(now)
+	require.True(t, held)
+	tracker.Retire(grant.Token)
+
+	released := now.Add(time.Second)
+	tracker.Observed(Observation{Row: Row{Token: 9}, Revision: 10, StoreRevision: 10}, released, released)
+	for at := released; at < released.Add(testTerm); at = at.Add(50 * time.Millisecond) {
+		action, _ := tracker.Next(at, 0, true)
+		require.NotEqual(t, Claim, action, "%s after the loss", at.Sub(released))
+		if action == Read {
+			tracker.Observed(Observation{Row: Row{Token: 9}, Revision: 10, StoreRevision: 10}, at, at)
+		}
+	}
+}
+
+// Guards against a grant that outlives a release whose answer was lost.
+func TestReleaseWithoutAnAnswerEndsTheGrant(t *testing.T) {
+	now := Instant(time.Hour)
+	tracker := NewTracker("a", "a1", testTerm, testMargin, now.Add(-testTerm))
+	tracker.Observed(Observation{StoreRevision: 5}, now, now)
+	row, _ := tracker.Proposal(Claim, nil)
+	tracker.Wrote(row, Written, 6, now, now)
+	release, _ := tracker.Proposal(Release, nil)
+	tracker.Wrote(row, Written, 7, now, now) // a confirmation that was on its way
+	tracker.Wrote(release, Unknown, 0, now, now)
+	_, held := tracker.Grant(now)
+	require.False(t, held)
+}
--- a/internal/frontend/demand.go
+++ b/internal/frontend/demand.go
@@ -80,9 +80,17 @@
 	if planner == nil {
 		last := make(map[string]int)
 		for _, o := range observations {
-			if order, ordered := sender.Last(service.Name, o.DataCentre); ordered {
-				last[o.DataCentre] = order.Count
+			order, ordered := sender.Last(service.Name, o.DataCentre)
+			if !ordered {
+				continue
 			}
+			if !order.Accepted { // it was stored, but the platform may not have taken it
+				if err := sender.OrderCount(ctx, service.Name, o.DataCentre, order.Count); err != nil {
+					f.log.Info("order of upstreams not repeated", "service", service.Name, "data-centre", o.DataCentre, "count", order.Count, "error", err.Error())
+					return // the planner is not kept; all is decided again in a second
+				}
+			}
+			last[o.DataCentre] = order.Count
 		}
 		planner = autoscale.NewPlanner(planned, last)
 		s.planners[service.Name] = planner
--- a/internal/frontend/duties.go
+++ b/internal/frontend/duties.go
@@ -209,7 +209,9 @@
 // receiveCounts merges the counts of other hosts.
 func (d *duties) receiveCounts(_ context.Context, m usage.Message) (usage.Reply, error) {
 	oldest := d.reporter.Oldest()
-	d.counts.Merge(m.Counts, oldest)
+	// Windows far ahead are those of a host with a wrong clock; they would never be evicted.
+	newest := d.windows.At(d.clock.Now().Add(usage.MaxAhead))
+	d.counts.Merge(lo.Filter(m.Counts, func(c usage.Counts, _ int) bool { return c.Window <= newest }), oldest)
 	d.counts.Evict(oldest)
 	d.setHolder(m.Holder, m.Token)
 	holder, token := d.knownHolder()
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -171,5 +171,8 @@
 	if err := settings.Decode(path, data, &s); err != nil {
 		return nil, err
 	}
+	if d := s.Duties; len(d.Names) > 0 && d.PauseMargin >= d.Term/2 {
+		return nil, failure.New(failure.InvalidSettings, "%s: duties.pause-margin %s leaves no time to act in a duties.term of %s; use less than half of it", path, d.PauseMargin, d.Term)
+	}
 	return &s, nil
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -132,9 +132,9 @@
 // chooseAmongPart is chooseAmong with a part of the usual sample.
 func (g *Gateway) chooseAmongPart(admit admission, candidates []*catalog.Upstream, samplePart float64, service *catalog.Service, demand balance.Demand, hosts int, now time.Time) *catalog.Upstream {
 	views := g.LoadTracker.Views(lo.Map(candidates, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
+	balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
 	skippedLimited := false
 	for len(candidates) > 0 {
-		balanceCandidates := lo.Map(candidates, func(u *catalog.Upstream, i int) balance.Candidate { return g.newCandidate(u, service, views[i]) })
 		g.randomMu.Lock()
 		best := balance.Pick(balanceCandidates, demand, hosts, samplePart, g.random)
 		if g.PlainPolicy {
@@ -151,6 +151,7 @@
 		}
 		skippedLimited = skippedLimited || limited
 		candidates, views = slices.Delete(candidates, best, best+1), slices.Delete(views, best, best+1)
+		balanceCandidates = slices.Delete(balanceCandidates, best, best+1)
 	}
 	return nil
 }
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -33,7 +33,10 @@
 	}
 	destination := g.anyDestination(s, source, service)
 	if destination == nil {
-		return nil, nil
+		if g.Pool.Reach(ctx, source.Address) != nil {
+			return nil, nil
+		}
+		return nil, errRunMayGoOn
 	}
 	for range maxStopCalls {
 		if g.Pool.Reach(ctx, source.Address) != nil {
@@ -50,7 +53,7 @@
 		case copied.Handle != "": // stopped but not copied: the source still holds the memory
 			m.destination = source
 			return m, nil
-		case errors.Is(err, ErrNoSuchRun), isNotSent(err):
+		case errors.Is(err, ErrNoSuchRun):
 			return nil, nil
 		}
 		g.Log.Info("run of a broken stream was not stopped", "request", s.call.info.ID, "upstream", source.ID, "error", err.Error())
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -17,6 +17,8 @@
 	// whereDraws is the number of choices made to find how often each upstream is chosen: hosts
 	// choose among random samples.
 	whereDraws = 400
+	// maxWhereTime bounds the time for the draws of one service.
+	maxWhereTime = 100 * time.Millisecond
 	// maxWhereUpstreams bounds the upstreams in an answer.
 	maxWhereUpstreams = 50
 )
@@ -126,8 +128,9 @@
 
 func (g *Gateway) whereOfService(cat *catalog.Catalog, service *catalog.Service, route *catalog.Route, q WhereQuery, now time.Time) WhereService {
 	demand := newDemand(route, service, q.PromptTokens, q.OutputTokens)
-	chosen, refused := make(map[string]int), 0
-	for i := range whereDraws {
+	chosen, refused, draws := make(map[string]int), 0, 0
+	for i := 0; i < whereDraws && (i == 0 || time.Since(now) < maxWhereTime); i++ {
+		draws++
 		// Each request has an identifier of its own, which decides on versions on trial.
 		if u := g.chooseAdmitted(g.wouldAdmit, cat, service, route.Name, "where-"+strconv.Itoa(i), demand, nil, now); u != nil {
 			chosen[u.ID]++
@@ -137,11 +140,11 @@
 	}
 	upstreams := cat.UpstreamsOfService(service.Name)
 	views := g.LoadTracker.Views(lo.Map(upstreams, func(u *catalog.Upstream, _ int) string { return u.ID }), now)
-	out := WhereService{Service: service.Name, Refused: float64(refused) / whereDraws, All: len(upstreams)}
+	out := WhereService{Service: service.Name, Refused: float64(refused) / float64(draws), All: len(upstreams)}
 	for i, u := range upstreams {
 		c := g.newCandidate(u, service, views[i])
 		w := WhereUpstream{
-			ID: u.ID, DataCentre: u.DataCentre, Version: u.Version, Chosen: float64(chosen[u.ID]) / whereDraws, Parts: c.CostParts(demand),
+			ID: u.ID, DataCentre: u.DataCentre, Version: u.Version, Chosen: float64(chosen[u.ID]) / float64(draws), Parts: c.CostParts(demand),
 			Excluded: g.whyExcluded(cat, u, service, now), Load: views[i].Load,
 		}
 		w.Cost = w.Parts.Total()
--- a/internal/membudget/body.go
+++ b/internal/membudget/body.go
@@ -112,9 +112,9 @@
 			return
 		}
 		var held int64
-		defer func() { c.free(held) }()
 		c.beginMultiplexed()
 		defer c.endMultiplexed()
+		defer func() { c.free(held) }() // before the connection rests, which frees all that it holds
 		if r.ContentLength == 0 {
 			if err := Complete(r.Context()); err != nil {
 				panic(http.ErrAbortHandler)
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -96,6 +96,9 @@
 	for {
 		b.mu.Lock()
 		now := time.Now()
+		if c.entry.waiting {
+			c.entry.waiting, c.entry.progressAt = false, now
+		}
 		if c.entry.ended {
 			b.mu.Unlock()
 			return ErrNoRoom
@@ -116,6 +119,10 @@
 			b.endedRequests.Inc()
 			b.logRefusal("request ended", v)
 		}
+		c.entry.waiting = true
+		if len(victims) > 0 { // one of them may wait here itself
+			b.wakeLocked()
+		}
 		freed := b.freed
 		b.mu.Unlock()
 		lo.ForEach(victims, func(v *entry, _ int) { v.conn.end() })
@@ -142,7 +149,12 @@
 	before := b.ledger.requestBytes
 	change(b.ledger, time.Now())
 	if b.ledger.requestBytes < before {
-		close(b.freed)
-		b.freed = make(chan struct{})
+		b.wakeLocked()
 	}
 }
+
+// wakeLocked wakes up all requests that wait for memory. b.mu must be held.
+func (b *Budget) wakeLocked() {
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
--- a/internal/membudget/ledger.go
+++ b/internal/membudget/ledger.go
@@ -100,6 +100,8 @@
 	arrived    int64
 	// held is the memory of the request.
 	held int64
+	// waiting is set while the request waits for memory, in which time nothing of it is read.
+	waiting bool
 	// ended is set once the connection has been chosen to give up its memory.
 	ended bool
 	// dropped is set once the connection no longer counts towards the limit of connections.
@@ -299,7 +301,7 @@
 		return 0
 	case e.phase == running:
 		return 3
-	case now.Sub(e.progressAt) > stallTime:
+	case !e.waiting && now.Sub(e.progressAt) > stallTime:
 		return 0
 	case l.addressBytes[e.address]*int64(len(l.addressBytes)) > l.limits.RequestBytes:
 		return 1
--- a/internal/membudget/ledger_test.go
+++ b/internal/membudget/ledger_test.go
@@ -127,3 +127,15 @@
 	require.Zero(t, l.units)
 	require.Empty(t, l.addressConns)
 }
+
+// Guards against requests that lose their memory because they wait for more: nothing of them is read
+// in that time.
+func TestWaitingRequestsDoNotCountAsStalled(t *testing.T) {
+	l := newLedger(Limits{RequestBytes: 8 << 20, LargeBytes: 6 << 20, Connections: 100})
+	waiting, stalled := newEntry(l, "a", start), newEntry(l, "b", start)
+	hold(t, l, waiting, 1<<20, start)
+	hold(t, l, stalled, 1<<20, start)
+	waiting.waiting = true
+	later := start.Add(2 * stallTime)
+	require.Greater(t, l.rank(waiting, later), l.rank(stalled, later))
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -102,7 +102,9 @@
 
 // RepeatNext makes the next order for a service and data centre go out even if it is the last accepted
 // one, because its effect isn't seen.
-func (s *Sender) RepeatNext(service, dataCentre string) { s.unseen[subject{service, dataCentre}.key()] = true }
+func (s *Sender) RepeatNext(service, dataCentre string) {
+	s.unseen[subject{service, dataCentre}.key()] = true
+}
 
 // OrderCount orders a number of upstreams unless it is the last accepted order. Errors are those
 // of package duty; after ErrUnknownOutcome the order may be executed later, and ordering again is
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -19,9 +19,11 @@
 	// and for a change of the holder.
 	settleShare = 0.35
 	// gatherTime is how long a new holder waits for the counts of the other hosts.
-	gatherTime = 1500 * time.Millisecond
+	gatherTime = 3500 * time.Millisecond
 	// retention is how long counts are kept for reports that could not be made.
 	retention = 2 * time.Minute
+	// MaxAhead is how far in the future counts of other hosts may lie.
+	MaxAhead = 2 * time.Minute
 	// maxReportsPerRun bounds the reports made in one run after an outage.
 	maxReportsPerRun = 8
 	minCallPause     = 500 * time.Millisecond
@@ -38,6 +40,8 @@
 type reportState struct {
 	// Next is the first window whose content is not fixed.
 	Next int64 `json:"next"`
+	// Width is the width of the windows in nanoseconds, since their numbers depend on it.
+	Width int64 `json:"width"`
 	// Pending is the last report that was fixed. It may not have been accepted yet; all before
 	// have been.
 	Pending *Report `json:"pending,omitempty"`
@@ -95,12 +99,13 @@
 		r.token, r.claimedAt, r.callPause, r.nextCallAt = g.Token, now, 0, now
 	}
 	var state reportState
-	if err := json.Unmarshal(g.State, &state); err != nil {
-		if len(g.State) > 0 {
-			r.Log.Error(err, "usage state could not be read; reports start again with the current window")
-		}
+	err := json.Unmarshal(g.State, &state)
+	if err != nil && len(g.State) > 0 {
+		r.Log.Error(err, "usage state could not be read; reports start again with the current window")
+	}
+	if err != nil || state.Width != int64(r.Windows.Width) {
 		// No report was made of the current window yet, whatever was lost.
-		return r.save(ctx, d, g.Token, reportState{Next: r.Windows.At(now)})
+		return r.save(ctx, d, g.Token, reportState{Next: r.Windows.At(now), Width: int64(r.Windows.Width)})
 	}
 	if p := state.Pending; p != nil && p.Window > r.accepted {
 		return !now.Before(r.nextCallAt) && r.call(ctx, d, g.Token, *p, now)
@@ -136,7 +141,7 @@
 	case late > 0:
 		outcome = "late"
 	}
-	r.count(outcome)
+	r.count(outcome, 1)
 	r.Log.Info("usage reported", "window", report.Window, "accounts", len(report.Requests), "token", token, "outcome", outcome, "late-ms", max(late, 0).Milliseconds())
 	return true
 }
@@ -149,7 +154,7 @@
 	}
 	for {
 		settled := r.Windows.End(state.Next).Add(time.Duration(settleShare * float64(r.Delay)))
-		if now.Before(settled) || now.Sub(r.claimedAt) < gatherTime {
+		if now.Before(settled) || now.Sub(r.claimedAt) < min(gatherTime, time.Duration(settleShare*float64(r.Delay))) {
 			return false
 		}
 		requests, processes := r.Table.Sum(state.Next)
@@ -176,13 +181,11 @@
 	}
 	r.skipped = to - 1
 	r.Log.Info("usage windows skipped: no host holds their counts", "from", from, "to", to-1)
-	for range to - from {
-		r.count("skipped")
-	}
+	r.count("skipped", int(to-from))
 }
 
-func (r *Reporter) count(outcome string) {
-	r.Metrics.GetOrCreateCounter(fmt.Sprintf(`rattanscale_usage_windows_total{outcome=%q}`, outcome)).Inc()
+func (r *Reporter) count(outcome string, windows int) {
+	r.Metrics.GetOrCreateCounter(fmt.Sprintf(`rattanscale_usage_windows_total{outcome=%q}`, outcome)).Add(windows)
 }
 
 // Oldest returns the oldest window whose counts are kept.
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -82,7 +83,7 @@
 				return
 			}
 		case <-ticker.C:
-			s.Table.Evict(s.Oldest())
+			s.evict(s.Oldest())
 		case <-ctx.Done():
 			return
 		}
@@ -90,6 +91,16 @@
 	}
 }
 
+// evict deletes what is known of windows before oldest.
+func (s *Sender) evict(oldest int64) {
+	s.Table.Evict(oldest)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.receivers {
+		maps.DeleteFunc(state.acknowledged, func(k Key, _ uint64) bool { return k.Window < oldest })
+	}
+}
+
 // Send sends to all receivers what they have not acknowledged.
 func (s *Sender) Send(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -291,3 +291,41 @@
 		}
 	})
 }
+
+// Guards against reports that never come again, or a holder that is busy for minutes, after the width of
+// the windows was changed.
+func TestReportsGoOnAfterTheWidthOfWindowsChanged(t *testing.T) {
+	for _, width := range []time.Duration{time.Second, time.Hour} {
+		source := &testClock{}
+		r := newTestReporter(source, NewTable("a", "a1"), nil)
+		old := reportState{Next: Windows{width}.At(r.Clock.Now()), Width: int64(width)}
+		data, err := json.Marshal(old)
+		require.NoError(t, err)
+		saved := &savedState{state: data}
+		r.Run(t.Context(), saved)
+		var state reportState
+		require.NoError(t, json.Unmarshal(saved.state, &state))
+		require.Equal(t, r.Windows.At(r.Clock.Now()), state.Next)
+	}
+}
+
+// savedState is a duty whose state is saved and which makes no calls.
+type savedState struct{ state []byte }
+
+func (s *savedState) Grant() (duty.Grant, bool) { return duty.Grant{Token: 1, State: s.state}, true }
+
+func (s *savedState) Save(_ context.Context, _ uint64, state []byte) error {
+	s.state = state
+	return nil
+}
+
+func (s *savedState) Do(context.Context, uint64, func(context.Context, duty.Order) error) error {
+	return duty.ErrNotHeld
+}
+
+// Guards against memory that grows with each window that was ever sent.
+func TestAcknowledgedCountsAreEvicted(t *testing.T) {
+	s := &Sender{Table: NewTable("a", "a1"), receivers: map[string]*receiverState{"b": {acknowledged: map[Key]uint64{{Window: 1}: 1, {Window: 9}: 1}}}}
+	s.evict(5)
+	require.Equal(t, map[Key]uint64{{Window: 9}: 1}, s.receivers["b"].acknowledged)
+}
