--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -19,6 +19,10 @@
 // engine.
 var resumeDelays = []time.Duration{0, 300 * time.Millisecond, time.Second}
 
+// cancelTimeout bounds the cancellation of a lost run: callers wait for it, also if the engine is
+// frozen.
+const cancelTimeout = 500 * time.Millisecond
+
 // errHandover ends a stream that the caller resumes at another host.
 var errHandover = errors.New("stream was handed over")
 
@@ -90,6 +94,8 @@
 	if !errors.As(cause, &lost) {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
 	if err := g.relay.Engine.Cancel(ctx, t.upstream.Address, g.call.attemptID); err != nil {
 		g.relay.Log.Info("lost upstream did not answer the cancellation", "request", g.call.RequestID, "upstream", t.upstream.Name, "error", err.Error())
 	}
