--- a/internal/duty/tracker.go
+++ b/internal/duty/tracker.go
@@ -66,7 +66,8 @@
 	Read
 	// Claim writes the row with a new token.
 	Claim
-	// Confirm writes the row unchanged, which extends the term.
+	// Confirm writes the row unchanged, which extends the term. If the token of the row was retired,
+	// it raises the token.
 	Confirm
 	// Release writes the row without a holder.
 	Release
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -36,7 +36,8 @@
 	Count int    `json:"count"`
 	Token uint64 `json:"token"`
 	// Accepted is set once the platform has accepted the order. If it is not, the outcome is
-	// unknown.
+	// unknown. It reaches the store only with the next order, which saves a write, so an accepted
+	// order may look otherwise to the next holder, which sends it once more.
 	Accepted bool `json:"accepted"`
 }
 
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -43,7 +43,7 @@
 	// Width is the width of the windows in nanoseconds, since their numbers depend on it.
 	Width int64 `json:"width"`
 	// Pending is the last report that was fixed. It may not have been accepted yet; all before
-	// have been.
+	// have been, since the next one is fixed only after this process saw Pending accepted.
 	Pending *Report `json:"pending,omitempty"`
 }
 
