--- a/internal/frontend/demand.go
+++ b/internal/frontend/demand.go
@@ -68,6 +68,7 @@
 	}
 }
 
+// order decides on the upstreams of one service and gives the orders.
 func (s *scaling) order(ctx context.Context, now time.Time, c *catalog.Catalog, service *catalog.Service, demand map[string]autoscale.Demand, viewAge time.Duration, sender *orders.Sender) {
 	f := s.frontEnd
 	observations := observe(c, service.Name, demand, viewAge)
@@ -78,19 +79,9 @@
 	}
 	planner := s.planners[service.Name]
 	if planner == nil {
-		last := make(map[string]int)
-		for _, o := range observations {
-			order, ordered := sender.Last(service.Name, o.DataCentre)
-			if !ordered {
-				continue
-			}
-			if !order.Accepted { // it was stored, but the platform may not have taken it
-				if err := sender.OrderCount(ctx, service.Name, o.DataCentre, order.Count); err != nil {
-					f.log.Info("order of upstreams not repeated", "service", service.Name, "data-centre", o.DataCentre, "count", order.Count, "error", err.Error())
-					return // the planner is not kept; all is decided again in a second
-				}
-			}
-			last[o.DataCentre] = order.Count
+		last, known := s.ordersInForce(ctx, service.Name, observations, sender)
+		if !known {
+			return // decided again in a second
 		}
 		planner = autoscale.NewPlanner(planned, last)
 		s.planners[service.Name] = planner
@@ -114,13 +105,38 @@
 	for _, o := range observations {
 		last, ordered := sender.Last(service.Name, o.DataCentre)
 		if ordered && !lo.ContainsBy(decided, func(d autoscale.Order) bool { return d.DataCentre == o.DataCentre }) {
-			if err := sender.OrderCount(ctx, service.Name, o.DataCentre, last.Count); err != nil {
-				f.log.Info("order of upstreams not repeated", "service", service.Name, "data-centre", o.DataCentre, "count", last.Count, "error", err.Error())
-			}
+			s.repeat(ctx, service.Name, o.DataCentre, last.Count, sender)
 		}
 	}
 }
 
+// ordersInForce returns the last orders by data centre, which an earlier holder may have given. One that
+// was stored, but that the platform may not have taken, is given first; if that fails it returns false.
+func (s *scaling) ordersInForce(ctx context.Context, service string, observations []autoscale.Observation, sender *orders.Sender) (counts map[string]int, known bool) {
+	counts = make(map[string]int)
+	for _, o := range observations {
+		last, ordered := sender.Last(service, o.DataCentre)
+		if !ordered {
+			continue
+		}
+		if !last.Accepted && !s.repeat(ctx, service, o.DataCentre, last.Count, sender) {
+			return nil, false
+		}
+		counts[o.DataCentre] = last.Count
+	}
+	return counts, true
+}
+
+// repeat gives the last order again, if the sender finds that it is due, and reports whether it is in
+// force.
+func (s *scaling) repeat(ctx context.Context, service, dataCentre string, count int, sender *orders.Sender) bool {
+	err := sender.OrderCount(ctx, service, dataCentre, count)
+	if err != nil {
+		s.frontEnd.log.Info("order of upstreams not repeated", "service", service, "data-centre", dataCentre, "count", count, "error", err.Error())
+	}
+	return err == nil
+}
+
 // observe returns the state of each data centre in which a service has upstreams or demand.
 func observe(c *catalog.Catalog, service string, demand map[string]autoscale.Demand, viewAge time.Duration) []autoscale.Observation {
 	ready := make(map[string]int)
