--- a/review/kit-2/identifiers.go
+++ b/review/kit-2/identifiers.go
@@ -13,13 +13,17 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
-	// crowd is the number of clients at one host at a time. Each sends one request after another.
-	crowd = 270
-	// crowdTime is how long they stay at a host.
-	crowdTime = 16 * time.Second
+	// crowd is the number of clients at each of the hosts. Each sends one request after another.
+	crowd = 280
+	// engineWork is the time until an engine answers.
+	engineWork = 300 * time.Millisecond
+	// crowdTime is how long they stay at a host, unless its process is killed before.
+	crowdTime = 32 * time.Second
 	// hostsForFault and endsForFault are the figures of the rule: so many machines, and so many ends on
 	// each of them.
 	hostsForFault, endsForFault = 2, 3
@@ -29,7 +33,7 @@
 // mostly of the identifier. The platform kills a process that exceeds its memory.
 func longIdentifiers(w *world, trouble bool) (bool, error) {
 	w.putConfiguration(7)
-	if _, err := w.startEngines(150 * time.Millisecond); err != nil {
+	if _, err := w.startEngines(engineWork); err != nil {
 		return false, err
 	}
 	if err := w.startHosts(hostCount); err != nil {
@@ -39,23 +43,30 @@
 	if trouble {
 		length = maxHeaderBytes - 700
 	}
-	ends := map[string]int{}
-	for i := range hostsForFault * endsForFault {
-		h := w.hosts[i%hostsForFault]
-		if w.crowdAt(h, length) {
-			ends[h.name]++
-			w.record.logf("the platform kills %s, which exceeds %d MB", h.name, memoryMB)
-			h.signal(syscall.SIGKILL)
-			h.waitEnded(5 * time.Second)
-			time.Sleep(300 * time.Millisecond)
-			if err := h.start(); err != nil {
-				return false, err
-			}
+	ends := make([]int, hostsForFault)
+	for range endsForFault {
+		var group errgroup.Group
+		for i := range ends {
+			group.Go(func() error {
+				h := w.hosts[i]
+				if !w.crowdAt(h, length) {
+					return nil
+				}
+				ends[i]++
+				w.record.logf("the platform kills %s, which exceeds %d MB", h.name, memoryMB)
+				h.signal(syscall.SIGKILL)
+				h.waitEnded(5 * time.Second)
+				time.Sleep(300 * time.Millisecond)
+				return h.start()
+			})
+		}
+		if err := group.Wait(); err != nil {
+			return false, err
 		}
 	}
 	machines := 0
-	for name, n := range ends {
-		w.record.logf("processes of %s ended %d times", name, n)
+	for i, n := range ends {
+		w.record.logf("processes of %s ended %d times", w.hosts[i].name, n)
 		if n >= endsForFault {
 			machines++
 		}
