--- a/review/kit-2/unread.go
+++ b/review/kit-2/unread.go
@@ -20,9 +20,11 @@
 	// unreadConnections is the number of connections of the clients that do not read their answers. A
 	// process has descriptors for three times as many.
 	unreadConnections = 1600
-	// openingTime is how long they open new ones where the host has ended some. Then they keep what they
-	// have, and do nothing.
-	openingTime = 36 * time.Second
+	// They open new ones where the host has ended some, for minOpening at least and maxOpening at most,
+	// until the host has nothing to do. Then they keep what they have, and do nothing.
+	minOpening, maxOpening = 25 * time.Second, 75 * time.Second
+	// idleShare is the part of a processor below which the host has nothing to do.
+	idleShare = 0.3
 	// quietTime is the time between their last connection and the tries of ordinary clients.
 	quietTime = 2 * contact
 	// openingRate is how many connections they open a second.
@@ -32,7 +34,10 @@
 	// callers is the number of ordinary clients, which try on new connections. The rule names seven.
 	callers = 10
 	// tryTime is how long they try; the rule names contactMs.
-	tryTime = 3 * contact
+	tryTime = 4 * contact
+	// remaining is the number of clients of the crowd that go on to open a connection each second, if
+	// the host has ended theirs.
+	remaining = 60
 )
 
 // unreadAnswers lets clients send requests one after another on many connections of one host, without
@@ -46,36 +51,43 @@
 		return false, err
 	}
 	h := w.hosts[0]
-	if n := h.tryNewConnections(time.Second); n == 0 {
+	if n, _ := h.tryNewConnections(time.Second); n == 0 {
 		return false, fmt.Errorf("no caller was answered before the disruption")
 	}
 	stop, opening := make(chan struct{}), make(chan struct{})
 	var group sync.WaitGroup
 	var opened, ended atomic.Int64
-	time.AfterFunc(openingTime, func() { close(opening) })
+	startedAt := time.Now()
 	ticker := time.NewTicker(time.Second / openingRate)
-	for range unreadConnections {
+	for i := range unreadConnections {
 		<-ticker.C
-		group.Go(func() { h.sendUnread(trouble, opening, stop, &opened, &ended) })
+		mayOpen := opening
+		if i < remaining {
+			mayOpen = stop
+		}
+		group.Go(func() { h.sendUnread(trouble, mayOpen, stop, &opened, &ended) })
 	}
 	ticker.Stop()
-	for {
-		w.record.logf("connections opened %d, ended by %s %d; its memory is %.0f MB", opened.Load(), h.name, ended.Load(), h.anonymousMB())
-		select {
-		case <-time.After(2 * time.Second):
-			continue
-		case <-opening:
+	for used := h.processorTime(); ; {
+		time.Sleep(2 * time.Second)
+		now := h.processorTime()
+		share := (now - used).Seconds() / 2
+		used = now
+		w.record.logf("connections opened %d, ended by %s %d; it uses %.2f processors and %.0f MB", opened.Load(), h.name, ended.Load(), share, h.anonymousMB())
+		if age := time.Since(startedAt); age > maxOpening || age > minOpening && share < idleShare {
+			break
 		}
-		break
 	}
+	close(opening)
 	time.Sleep(quietTime)
-	w.record.logf("for %s no client of the crowd has opened a connection; opened %d, ended %d", quietTime, opened.Load(), ended.Load())
-	answered := h.tryNewConnections(tryTime)
-	isReady := h.ready()
-	w.record.logf("in %s, %d new connections of %d callers were answered; the host says ready: %t; connections opened %d, ended %d", tryTime, answered, callers, isReady, opened.Load(), ended.Load())
+	readyBefore := h.ready()
+	answered, longest := h.tryNewConnections(tryTime)
+	isReady := readyBefore && h.ready()
+	w.record.logf("in %s, %d new connections of %d callers were answered, none for %.1f s; the host says ready before and after: %t; connections opened %d, ended %d",
+		tryTime, answered, callers, longest.Seconds(), isReady, opened.Load(), ended.Load())
 	close(stop)
 	group.Wait()
-	return answered == 0 && isReady, nil
+	return longest >= contact && isReady, nil
 }
 
 // sendUnread sends requests over one connection and reads nothing. It opens another one if the host
@@ -147,18 +159,21 @@
 }
 
 // tryNewConnections lets callers open new connections and ask for a lookup on each. It returns the
-// number of answers, of any status.
-func (h *host) tryNewConnections(d time.Duration) (answers int64) {
+// number of answers, of any status, and the longest time without one.
+func (h *host) tryNewConnections(d time.Duration) (answers int, longest time.Duration) {
 	var group sync.WaitGroup
-	var n atomic.Int64
+	var mu sync.Mutex
 	var firstErr sync.Once
-	end := time.Now().Add(d)
+	start := time.Now()
+	last := start
 	for range callers {
 		group.Go(func() {
-			for time.Now().Before(end) {
-				status, err := h.request(http.MethodGet, "/dalsi-jizda/2f", 1000)
+			for time.Since(start) < d {
+				status, err := h.request(http.MethodGet, "/dalsi-jizda/2f", "7a13:1", 1000)
 				if err == nil {
-					n.Add(1)
+					mu.Lock()
+					answers, longest, last = answers+1, max(longest, time.Since(last)), time.Now()
+					mu.Unlock()
 				}
 				firstErr.Do(func() { h.w.record.logf("first try at %s: status %d, error %v", h.name, status, err) })
 				time.Sleep(200 * time.Millisecond)
@@ -166,5 +181,5 @@
 		})
 	}
 	group.Wait()
-	return n.Load()
+	return answers, max(longest, start.Add(d).Sub(last))
 }
--- a/review/kit-2/world.go
+++ b/review/kit-2/world.go
@@ -211,6 +211,26 @@
 	return 0
 }
 
+// processorTime is the processor time that the process has used.
+func (h *host) processorTime() time.Duration {
+	h.mu.Lock()
+	pid := h.process.Process.Pid
+	h.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	const ticksPerSecond = 100
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
 // ready asks the host as the platform does.
 func (h *host) ready() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
