--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"identifiers": longIdentifiers,
+	"part":        crashingPart,
 	"poison":      crashingRequest,
 	"unread":      unreadAnswers,
 }
