--- a/review/kit-3/crashes.go
+++ b/review/kit-3/crashes.go
@@ -11,66 +11,6 @@
 	"time"
 )
 
-// sameRequest: a request that crashes each engine that begins to run it comes again and again, with
-// the same path, caller and body.
-func sameRequest(s *site, trouble bool) (bool, error) {
-	const bad = `{"ride":"the one that crashes engines"}`
-	seen := &crowd{}
-	err := s.start(configuration(unsafeRoute, plainService), 6, 6, func(int) *engine {
-		return &engine{
-			service: "pokladna", slots: 6, work: 150 * time.Millisecond, back: 3 * time.Second,
-			onArrival: func(_ *engine, a arrival) {
-				if a.body == bad {
-					seen.addArrival(a.at)
-				}
-			},
-			crashes: func(a arrival) bool {
-				if a.body != bad {
-					return false
-				}
-				seen.addCrash(s.record.now())
-				return true
-			},
-		}
-	})
-	if err != nil {
-		return false, err
-	}
-	c, others := newClient(s), &sound{}
-	var clients sync.WaitGroup
-	const length = 78 * time.Second
-	clients.Go(func() {
-		every(50*time.Millisecond, length, func(n int) {
-			a := c.send(request{id: fmt.Sprintf("sound-%d", n), method: http.MethodPost, path: "/rezervace/2f", body: fmt.Sprintf(`{"ride":%d}`, n), deadline: time.Second})
-			others.add(a.status == http.StatusOK)
-		})
-	})
-	if trouble {
-		clients.Go(func() {
-			// The client repeats three times more, at once.
-			every(500*time.Millisecond, length, func(n int) {
-				for i := range 4 {
-					clients.Go(func() {
-						c.send(request{id: fmt.Sprintf("bad-%d-%d", n, i), method: http.MethodPost, path: "/rezervace/2f", body: bad, deadline: time.Second})
-					})
-				}
-			})
-		})
-	}
-	clients.Wait()
-	after, third, ok := seen.after(3)
-	s.record.add("sound requests: %d sent, %d answered 200, %d not", others.sent, others.ok, others.other)
-	if trouble && !ok {
-		return false, fmt.Errorf("the request crashed %d engines", len(seen.crashes))
-	}
-	if !trouble && others.other*50 > others.sent {
-		return false, fmt.Errorf("%d of %d sound requests were not served without the disruption", others.other, others.sent)
-	}
-	s.verdict(after > 3, "third crash at %d ms; %d requests that crash engines reached engines later than %d ms after it (3 may); %d crashes in all; sound requests: %d of %d answered 200",
-		third.Milliseconds(), after, contact.Milliseconds(), len(seen.crashes), others.ok, others.sent)
-	return after > 3, nil
-}
-
 // partsOf returns a prompt of so many parts, whose last one is the request's own. The part with the
 // index crash, if there is one, is the one that crashes engines.
 func partsOf(own string, count, crash int) string {
@@ -154,8 +94,3 @@
 func longPrompt(s *site, trouble bool) (bool, error) {
 	return crashingParts(s, trouble, 40, 35, 300*time.Millisecond, 500*time.Millisecond, 30*time.Second)
 }
-
-// samePart: the part is the second of four, and requests with it come for more than a minute.
-func samePart(s *site, trouble bool) (bool, error) {
-	return crashingParts(s, trouble, 4, 1, 500*time.Millisecond, 100*time.Millisecond, 72*time.Second)
-}
