review: case 14, a request that silences engines is never refused

Cause: a run that ends with the time of its request is recorded as abandoned and not as a loss (recordLostRun, internal/gateway/plain.go).

--- a/review/kit-3/cases.go
+++ b/review/kit-3/cases.go
@@ -18,6 +18,9 @@
 const (
 	modelService = `{"name":"vypravec","healthPath":"/healthz","maxConnections":242,"protocol":"h1","tls":false,"warmupS":0,"warmupPerS":0,
 "engine":{"batchSlots":%d,"kvCapacityTokens":34372,"kvTokenBytes":18432,"bandwidthMbps":2700.0,"migrations":true,"backups":true,"stride":4,"cacheHandleS":5.0,"models":[{"name":"m"}]}}`
+	plainService = `{"name":"pokladna","healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false,"warmupS":0,"warmupPerS":0}`
+	unsafeRoute  = `{"name":"r-2","hostname":"rides.example","prefix":"/rezervace/","routeType":"unsafe","timeoutMs":1000,"targetLatencyMs":100,
+"priority":2,"service":"pokladna","maxAttempts":1,"public":false}`
 	streamRoute = `{"name":"r-1","hostname":"rides.example","prefix":"/pece/","routeType":"stream","timeoutMs":6000,"targetLatencyMs":1500,"targetItlMs":180,
 "priority":0,"service":"vypravec","maxAttempts":%d,"public":false,"sessionAffinity":true,"streamResume":%t}`
 )
--- a/review/kit-3/crashes.go
+++ b/review/kit-3/crashes.go
@@ -5,12 +5,67 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
+// silentCrash: a request that crashes each engine that begins to run it comes again and again, with the
+// same path, caller and body. The engines send nothing when they crash.
+func silentCrash(s *site, trouble bool) (bool, error) {
+	const bad = `{"ride":"the one that crashes engines"}`
+	seen := &crowd{}
+	err := s.start(configuration(unsafeRoute, plainService), 4, 6, func(int) *engine {
+		return &engine{
+			service: "pokladna", slots: 6, work: 15 * time.Millisecond, back: 3 * time.Second, silent: os.Getenv("CRASH") != "reset",
+			onArrival: func(_ *engine, a arrival) {
+				if a.body == bad {
+					seen.addArrival(a.at)
+				}
+			},
+			crashes: func(a arrival) bool {
+				if a.body == bad {
+					seen.addCrash(s.record.now())
+				}
+				return a.body == bad
+			},
+		}
+	})
+	if err != nil {
+		return false, err
+	}
+	c, others := newClient(s), &sound{}
+	var clients sync.WaitGroup
+	const length = 40 * time.Second
+	clients.Go(func() {
+		every(50*time.Millisecond, length, func(n int) {
+			a := c.send(request{id: fmt.Sprintf("sound-%d", n), method: http.MethodPost, path: "/rezervace/2f", body: fmt.Sprintf(`{"ride":%d}`, n), deadline: time.Second})
+			others.add(a.status == http.StatusOK)
+		})
+	})
+	if trouble {
+		clients.Go(func() {
+			every(2*time.Second, length, func(n int) {
+				c.send(request{id: fmt.Sprintf("bad-%d", n), method: http.MethodPost, path: "/rezervace/2f", body: bad, deadline: time.Second})
+			})
+		})
+	}
+	clients.Wait()
+	after, third, ok := seen.after(3)
+	s.record.add("sound requests: %d sent, %d answered 200, %d not", others.sent, others.ok, others.other)
+	if trouble && !ok {
+		return false, fmt.Errorf("the request crashed %d engines", len(seen.crashes))
+	}
+	if !trouble && others.other*50 > others.sent {
+		return false, fmt.Errorf("%d of %d sound requests were not served without the disruption", others.other, others.sent)
+	}
+	s.verdict(after > 3, "third crash at %d ms; %d requests that crash engines reached engines later than %d ms after it (3 may); %d crashes in all; sound requests: %d of %d answered 200",
+		third.Milliseconds(), after, contact.Milliseconds(), len(seen.crashes), others.ok, others.sent)
+	return after > 3, nil
+}
+
 // partsOf returns a prompt of so many parts, whose last one is the request's own. The part with the
 // index crash, if there is one, is the one that crashes engines.
 func partsOf(own string, count, crash int) string {
--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -25,8 +25,10 @@
 	// events events.
 	work, prefill, interval time.Duration
 	events                  int
-	// back is the time from a crash to the next start.
-	back time.Duration
+	// back is the time from a crash to the next start. silent crashes send nothing: connections stay
+	// open and no byte is answered until the next start. Others reset the connections.
+	back   time.Duration
+	silent bool
 	// onArrival is called for each request that arrives and is for this engine.
 	onArrival func(e *engine, a arrival)
 	// onWork is called when the engine ends its work on a request.
@@ -145,16 +147,28 @@
 	}
 	e.up = false
 	id, listener, conns, running := e.id, e.listener, e.conns, len(e.runs)
-	e.conns = map[net.Conn]bool{}
+	if !e.silent {
+		e.conns = map[net.Conn]bool{}
+	}
 	close(e.ended)
 	e.mu.Unlock()
 	e.site.record.add("engine    %s crashed, with %d requests running", id, running)
-	_ = listener.Close()
-	for c := range conns {
-		reset(c)
+	end := func() {
+		_ = listener.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for c := range conns {
+			reset(c)
+		}
+	}
+	if !e.silent {
+		end()
 	}
 	time.AfterFunc(3*heartbeat, func() { e.site.store.Remove("servers", id) })
 	time.AfterFunc(e.back, func() {
+		if e.silent {
+			end()
+		}
 		again, err := net.Listen("tcp", e.address)
 		if err != nil {
 			e.site.record.add("engine    %s is not back: %v", id, err)
@@ -183,6 +197,23 @@
 	_ = c.Close()
 }
 
+func (e *engine) isOver(ended chan struct{}) bool {
+	select {
+	case <-ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// fallSilent ends a request that a crash has taken with it, without a byte if the crash is silent.
+func (e *engine) fallSilent(r *http.Request) {
+	if e.silent {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // state returns the identity and the channels of this incarnation.
 func (e *engine) state() (id string, free chan struct{}, ended chan struct{}) {
 	e.mu.Lock()
@@ -192,6 +223,9 @@
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	id, free, ended := e.state()
+	if e.isOver(ended) {
+		e.fallSilent(r)
+	}
 	switch {
 	case r.URL.Path == "/healthz":
 		w.Header().Set("X-Instance-Id", id)
@@ -268,7 +302,7 @@
 		case <-left:
 			return
 		case <-ended:
-			panic(http.ErrAbortHandler)
+			e.fallSilent(r)
 		}
 	}
 	defer func() { free <- struct{}{} }()
@@ -282,7 +316,7 @@
 		e.mu.Unlock()
 	}()
 	if a.copyName == "" && !pause(e.prefill, left, ended, running.stop) {
-		panic(http.ErrAbortHandler)
+		e.breakOff(r, ended)
 	}
 	e.site.record.add("running   %s at %s", a.id, id)
 	began := e.site.record.now()
@@ -293,7 +327,7 @@
 	}()
 	if e.crashes != nil && e.crashes(a) {
 		e.crash()
-		panic(http.ErrAbortHandler)
+		e.fallSilent(r)
 	}
 	hijacked := func() bool {
 		select {
@@ -308,7 +342,7 @@
 	}
 	if e.events == 0 {
 		if !pause(e.work, left, ended, running.stop) {
-			panic(http.ErrAbortHandler)
+			e.breakOff(r, ended)
 		}
 		e.site.record.add("run ended %s at %s", a.id, id)
 		if !hijacked() {
@@ -326,7 +360,7 @@
 	}
 	for i := first; i < e.events; i++ {
 		if i > first && !pause(e.interval, left, ended, running.stop) {
-			panic(http.ErrAbortHandler)
+			e.breakOff(r, ended)
 		}
 		if hijacked() {
 			continue
@@ -337,6 +371,14 @@
 	e.site.record.add("run ended %s at %s", a.id, id)
 }
 
+// breakOff ends a run that was stopped, left by its client or lost in a crash.
+func (e *engine) breakOff(r *http.Request, ended chan struct{}) {
+	if e.isOver(ended) {
+		e.fallSilent(r)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func pause(d time.Duration, stops ...<-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
