--- a/review/kit-3/cases.go
+++ b/review/kit-3/cases.go
@@ -21,6 +21,8 @@
 	plainService = `{"name":"pokladna","healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false,"warmupS":0,"warmupPerS":0}`
 	unsafeRoute  = `{"name":"r-2","hostname":"rides.example","prefix":"/rezervace/","routeType":"unsafe","timeoutMs":1000,"targetLatencyMs":100,
 "priority":2,"service":"pokladna","maxAttempts":1,"public":false}`
+	longRoute = `{"name":"r-1","hostname":"rides.example","prefix":"/pece/","routeType":"stream","timeoutMs":39000,"targetLatencyMs":1800,"targetItlMs":180,
+"priority":1,"service":"vypravec","maxAttempts":1,"public":false,"sessionAffinity":true,"streamResume":false}`
 	streamRoute = `{"name":"r-1","hostname":"rides.example","prefix":"/pece/","routeType":"stream","timeoutMs":6000,"targetLatencyMs":1500,"targetItlMs":180,
 "priority":0,"service":"vypravec","maxAttempts":%d,"public":false,"sessionAffinity":true,"streamResume":%t}`
 )
--- a/review/kit-3/crashes.go
+++ b/review/kit-3/crashes.go
@@ -90,12 +90,13 @@
 const crashingPart = "bad0bad0"
 
 // crashingParts plays prompts that share a part which crashes each engine that begins to answer.
-func crashingParts(s *site, trouble bool, parts, index int, prefill, interval, length time.Duration) (bool, error) {
+func crashingParts(s *site, trouble bool, route string, silent bool, parts, index int, deadline, patience time.Duration) (bool, error) {
+	const prefill, interval, length = 300 * time.Millisecond, 500 * time.Millisecond, 30 * time.Second
 	seen := &crowd{}
 	has := func(a arrival) bool { return slices.Contains(a.parts, crashingPart) }
-	err := s.start(configuration(fmt.Sprintf(streamRoute, 1, false), fmt.Sprintf(modelService, 24)), 3, 8, func(int) *engine {
+	err := s.start(configuration(route, fmt.Sprintf(modelService, 24)), 3, 8, func(int) *engine {
 		return &engine{
-			service: "vypravec", slots: 24, prefill: prefill, interval: 40 * time.Millisecond, events: 12, back: 3 * time.Second,
+			service: "vypravec", slots: 24, prefill: prefill, interval: 40 * time.Millisecond, events: 12, back: 3 * time.Second, silent: silent, silentForGood: silent,
 			onArrival: func(_ *engine, a arrival) {
 				if has(a) {
 					seen.addArrival(a.at)
@@ -114,7 +115,7 @@
 	}
 	c, others := newClient(s), &sound{}
 	send := func(id string, crash int) answer {
-		return c.send(request{id: id, method: http.MethodPost, path: "/pece/2f", body: "prompt of " + id, deadline: 6 * time.Second, header: map[string]string{
+		return c.send(request{id: id, method: http.MethodPost, path: "/pece/2f", body: "prompt of " + id, deadline: deadline, patience: patience, header: map[string]string{
 			"X-Model": "m", "X-Token-Usage": "1240,48", "X-Prefix-Hash": partsOf(id, parts, crash),
 		}})
 	}
@@ -147,5 +148,11 @@
 
 // longPrompt: the part that crashes engines is the 36th of 40.
 func longPrompt(s *site, trouble bool) (bool, error) {
-	return crashingParts(s, trouble, 40, 35, 300*time.Millisecond, 500*time.Millisecond, 30*time.Second)
+	return crashingParts(s, trouble, fmt.Sprintf(streamRoute, 1, false), false, 40, 35, 6*time.Second, 0)
+}
+
+// silentPart: the part is the second of four, and engines send nothing when they crash. Clients leave
+// when they have waited for four times the objective.
+func silentPart(s *site, trouble bool) (bool, error) {
+	return crashingParts(s, trouble, longRoute, os.Getenv("CRASH") != "reset", 4, 1, 39*time.Second, 7200*time.Millisecond)
 }
--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -26,9 +26,10 @@
 	work, prefill, interval time.Duration
 	events                  int
 	// back is the time from a crash to the next start. silent crashes send nothing: connections stay
-	// open and no byte is answered until the next start. Others reset the connections.
-	back   time.Duration
-	silent bool
+	// open, and no byte is answered until the next start, which resets them unless silentForGood is
+	// set. Other crashes reset the connections.
+	back                  time.Duration
+	silent, silentForGood bool
 	// onArrival is called for each request that arrives and is for this engine.
 	onArrival func(e *engine, a arrival)
 	// onWork is called when the engine ends its work on a request.
@@ -155,6 +156,9 @@
 	e.site.record.add("engine    %s crashed, with %d requests running", id, running)
 	end := func() {
 		_ = listener.Close()
+		if e.silentForGood {
+			return
+		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		for c := range conns {
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -22,7 +22,7 @@
 const limit = 115 * time.Second
 
 func main() {
-	cases := map[string]func(*site, bool) (bool, error){"queued-run": queuedRun, "long-prompt": longPrompt, "silent-crash": silentCrash}
+	cases := map[string]func(*site, bool) (bool, error){"queued-run": queuedRun, "long-prompt": longPrompt, "silent-crash": silentCrash, "silent-part": silentPart}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME FOLDER")
 		os.Exit(failed)
--- a/review/kit-3/site.go
+++ b/review/kit-3/site.go
@@ -238,6 +238,8 @@
 	id, method, path, body string
 	header                 map[string]string
 	deadline               time.Duration
+	// patience is when the client leaves; 0 is half a second after the deadline.
+	patience time.Duration
 }
 
 // answer is what the client got.
@@ -251,7 +253,11 @@
 
 func (c *client) send(r request) (a answer) {
 	a.machine = c.address()
-	ctx, cancel := context.WithTimeout(context.Background(), r.deadline+500*time.Millisecond)
+	patience := r.deadline + 500*time.Millisecond
+	if r.patience > 0 {
+		patience = r.patience
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	hr, err := http.NewRequestWithContext(ctx, r.method, "http://"+a.machine+r.path, strings.NewReader(r.body))
 	if err != nil {
