hop: reject malformed response heads

Callers saw: an engine's answer with status 000, 600 or 999, one with a blank in the name of a field, or with a line that began with a blank, reached them as a success, with the line left out or with bytes that were not the body; others waited until their deadline.

Cause: http.ReadResponse accepts these heads. Status 000 counted as an informational response, so that its body was read as the next head. A field with a blank in its name is kept under that name, so the length or the encoding that it states is lost, and the body goes on until the connection ends. A line that begins with a blank is joined to the line before. With version 1.0 the encoding is ignored, and the chunks themselves are the body.

Change: responsehead.Scanner checks each byte of a head, from the status line to the empty line, before the library parses it. hop reads through it, and checks the names in trailers, so that all responses of engines to the front end are covered: plain ones, streams, failures, and calls for copies and reports. A malformed response is a failed exchange that may have run: 502 at once, or another engine where the request may run again. The scanner takes over the bounds of headLimiter, now exact.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -20,6 +20,8 @@
 
 	"github.com/samber/lo"
 	"golang.org/x/sys/unix"
+
+	"github.com/rattanscale/rattanscale/internal/responsehead"
 )
 
 const (
@@ -117,8 +119,9 @@
 
 type conn struct {
 	net.Conn
-	address      string
-	head         *headLimiter
+	address string
+	// checked reads from Conn.
+	checked      *responsehead.Conn
 	reader       *bufio.Reader
 	lastUsed     time.Time
 	reuseTimeout time.Duration
@@ -254,8 +257,8 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	head := &headLimiter{reader: raw}
-	return &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), reuseTimeout: maxIdleReuse}, nil
+	checked := responsehead.NewConn(raw)
+	return &conn{Conn: raw, address: address, checked: checked, reader: bufio.NewReaderSize(checked, readBufferBytes), reuseTimeout: maxIdleReuse}, nil
 }
 
 func setUserTimeout(c *net.TCPConn) {
@@ -292,7 +295,7 @@
 	c.applyKeepAlive(head)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Framed: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
-		body: head.Body, conn: c, pool: p, stopWatch: stop, reusable: !head.Close && !r.closes(),
+		body: head.Body, head: head, conn: c, pool: p, stopWatch: stop, reusable: !head.Close && !r.closes(),
 		maxIdle: r.idleLimit(),
 	}, nil
 }
@@ -339,9 +342,10 @@
 func (p *Pool) receive(c *conn, r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
 	for range maxSkippedResponses + 1 {
-		c.head.begin()
+		if err := c.beginHead(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, method)
-		c.head.end()
 		if err != nil {
 			return nil, err
 		}
@@ -368,6 +372,15 @@
 	return nil, errUnexpectedResponse
 }
 
+// beginHead expects the head of a response, of which a part may be in the buffer.
+func (c *conn) beginHead() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.checked.Begin(buffered)
+}
+
 // remember records the identifier of a request that the connection has carried.
 func (c *conn) remember(id string) {
 	if len(c.recentIDs) == rememberedIDs {
@@ -412,7 +425,9 @@
 	// other responses ends with the connection.
 	Framed bool
 
-	body      io.ReadCloser
+	body io.ReadCloser
+	// head holds the trailer once the body has been read.
+	head      *http.Response
 	conn      *conn
 	pool      *Pool
 	stopWatch func() bool
@@ -425,6 +440,9 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if trailerErr := responsehead.CheckTrailer(r.head.Trailer); trailerErr != nil {
+			return n, trailerErr
+		}
 		r.complete = true
 	}
 	return n, err
