platform, storage: reject malformed response heads of services

A response of the store, of the API for duties or of the host list with a malformed head counted: a write was reported as a conflict, or as refused without having been executed, though the head did not say so, rows were read from bodies without a known end, and calls waited for such bodies until their time was over. A host that believes a write was not applied may act against one that was.

Change: these clients use responsehead.Transport, which checks the bytes of each head on the connection, below the library, with and without TLS. Such a call has an unknown outcome.

--- a/internal/storage/httpclient.go
+++ b/internal/storage/httpclient.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/rattanscale/rattanscale/internal/responsehead"
 )
 
 // NewHTTPClient returns an HTTP client for a platform service. dialTimeout limits the
@@ -15,16 +17,13 @@
 func NewHTTPClient(dialTimeout time.Duration) *http.Client {
 	const maxIdle = 16
 	const idleTimeout = 30 * time.Second
-	const maxHeaderBytes = 64 << 10
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: responsehead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext,
 		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 }
 
 // SendTracker records whether any part of a request may have been sent. It is safe for
