upstream: reject malformed response heads of the daemon's upstreams

Callers of a daemon saw: a response of a plain service with status 101, with a blank in the name of a field or in a trailer, or of another version, as the result of their call, and one whose length was lost in such a name only at their deadline.

Cause: the same as in the front end; http.Transport parses heads with the library, and returns status 101 as a final response.

Change: the client of engines and plain services checks heads on the connection with responsehead.Transport, and plain responses have their trailers checked. The check that runs before a request is written finds its connection below the new layer. Such a call has an unknown outcome, as after a lost connection.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/rattanscale/rattanscale/internal/hop"
+	"github.com/rattanscale/rattanscale/internal/responsehead"
 )
 
 // HeaderExchange identifies one exchange. Upstreams echo it in each response, also in refusals.
@@ -21,7 +22,7 @@
 // response to the next request. Connections are kept only to upstreams that echo HeaderExchange.
 // It is safe for concurrent use.
 type Transport struct {
-	*http.Transport
+	*responsehead.Transport
 	mu sync.Mutex
 	// echoing holds the addresses whose latest response had the identifier of its exchange.
 	echoing map[string]bool
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/rattanscale/rattanscale/internal/responsehead"
 )
 
 // URL returns the URL of a path at an upstream. The address is IP:port, or a URL
@@ -29,10 +30,9 @@
 func NewHTTPClient(dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
 	const idleTimeout = 30 * time.Second
 	const maxIdle = 1024
-	const maxHeaderBytes = 32 << 10
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Client{
-		Transport: &Transport{echoing: make(map[string]bool), Transport: &http.Transport{
+		Transport: &Transport{echoing: make(map[string]bool), Transport: responsehead.NewTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -45,9 +45,7 @@
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		})},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -79,11 +77,16 @@
 // checkedConnOf returns conn, or the connection below its TLS layer, if it is a
 // checkedConn, else nil.
 func checkedConnOf(conn net.Conn) *checkedConn {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
+	for {
+		if checked, ok := conn.(*checkedConn); ok {
+			return checked
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = outer.NetConn()
 	}
-	checked, _ := conn.(*checkedConn)
-	return checked
 }
 
 // SendTracker records whether any part of one request may have left this process. It is
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/rattanscale/rattanscale/internal/responsehead"
 	"github.com/rattanscale/rattanscale/internal/upstream"
 )
 
@@ -110,6 +111,9 @@
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLarge
 	}
+	if err == nil {
+		err = responsehead.CheckTrailer(response.Trailer)
+	}
 	if err != nil {
 		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrLost, err)
 	}
