gateway: read blank lines of a stream in linear time

Callers of a front end waited while one engine sent blank lines without end as a stream: 100 callers with five requests each kept eight cores busy for 33 s.

Cause: the event reader looked again, at each blank line, through all that it had read of the event. Up to the limit of 64 KB that is one second of processor for each such stream.

Change: the reader remembers whether the event so far is blank. What it passes on is the same.

Evidence: TestBlankLinesAreCheap reads 10 streams of each kind of blank line with a bound of 5 s for ten.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -40,6 +40,7 @@
 func (e *eventReader) next() (event, error) {
 	out := event{id: -1}
 	lineStart := 0 // of the current line in out.raw
+	isBlank := true
 	for {
 		line, err := e.buffer.ReadSlice('\n')
 		out.raw = append(out.raw, line...)
@@ -47,7 +48,7 @@
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(out.raw)) > 0 {
+			if errors.Is(err, io.EOF) && (!isBlank || len(bytes.TrimSpace(out.raw[lineStart:])) > 0) {
 				return out, errPartialEvent
 			}
 			return out, err
@@ -58,11 +59,12 @@
 		trimmed := bytes.TrimRight(out.raw[lineStart:], "\r\n")
 		lineStart = len(out.raw)
 		if len(trimmed) == 0 {
-			if len(bytes.TrimSpace(out.raw)) == 0 {
+			if isBlank {
 				continue
 			}
 			return out, nil
 		}
+		isBlank = isBlank && len(bytes.TrimSpace(trimmed)) == 0
 		if trimmed[0] != ':' {
 			out.hasData = true
 		}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -52,3 +53,30 @@
 		require.True(t, e.hasData)
 	}
 }
+
+// Guards against an engine whose blank lines keep the processor busy: the cost of each must not grow
+// with what came before.
+func TestBlankLinesAreCheap(t *testing.T) {
+	const streams, bound = 10, 5 * time.Second
+	for _, blank := range []string{"\n", "\r\n", " \n"} {
+		startedAt := time.Now()
+		for range streams {
+			_, err := newEventReader(strings.NewReader(strings.Repeat(blank, maxEventBytes+1))).next()
+			require.ErrorIs(t, err, errEventTooLong)
+		}
+		require.Less(t, time.Since(startedAt), bound, "%d streams of %q", streams, blank)
+	}
+}
+
+// Guards against blank lines that are lost, or taken for an event, or for its end.
+func TestBlankLinesBelongToTheNextEvent(t *testing.T) {
+	events := newEventReader(strings.NewReader("\n\r\n \n\ndata: 1\n \n\n\nid: 2\ndata: 2\n\n\n"))
+	first, err := events.next()
+	require.NoError(t, err)
+	require.Equal(t, "\n\r\n \n\ndata: 1\n \n\n", string(first.raw))
+	second, err := events.next()
+	require.NoError(t, err)
+	require.Equal(t, "\nid: 2\ndata: 2\n\n", string(second.raw))
+	_, err = events.next()
+	require.ErrorIs(t, err, io.EOF)
+}
