upstream: bound what responses of plain services hold together

A plain service that answered without end took a daemon to 1.1 GB: the process of a machine of 512 MB, the default, would have ended, and with it the requests of all its callers.

Cause: each response may have 16 MiB, which was read whole, and nothing bounded how many were read at once. A refusal was read up to the same length for its message.

Change: the buffer that bounds such responses in the front end becomes the package responsebuffer, and the daemon uses it too, until the response has been written to its caller. Its room is half of what the memory of the machine leaves beside the process and its clients, at least one response of 16 MiB: 58 MB by default. A response that finds no room is a lost one: the call may have run. Of a refusal 4 KB are read.

--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -261,7 +261,7 @@
 	start := func(t *testing.T) (caller, operator target) {
 		cert, key := tlstest.WriteCertificate(t, t.TempDir(), 1)
 		t.Setenv("RATTAN_CA", cert)
-		return startDaemonWith(t, fmt.Sprintf("tls: {cert: %s, key: %s, ca: %s}\n", cert, key, cert), "https", descriptorLimit())
+		return startDaemonWith(t, daemonExtras{settings: fmt.Sprintf("tls: {cert: %s, key: %s, ca: %s}\n", cert, key, cert)}, "https", descriptorLimit())
 	}
 	t.Run("callers", func(t *testing.T) {
 		caller, _ := start(t)
--- a/e2e/hostile/process_test.go
+++ b/e2e/hostile/process_test.go
@@ -198,9 +198,15 @@
 	t.Helper()
 	store := platformstandin.StartStore()
 	t.Cleanup(store.Close)
+	store.Put("op", "config", frontendConfiguration)
+	return startFrontendWith(t, store, environment...)
+}
+
+// startFrontendWith is startFrontend with a store that has a configuration with the service orders.
+func startFrontendWith(t *testing.T, store *platformstandin.Store, environment ...string) (target, map[string]string) {
+	t.Helper()
 	engine := platformstandin.StartEngine(&platformstandin.Journal{}, "engine-1", 0, 0)
 	t.Cleanup(engine.Close)
-	store.Put("op", "config", frontendConfiguration)
 	store.Put("servers", "engine-1", fmt.Sprintf(
 		`{"service":"orders","address":%q,"zone":"praha-1","version":"v1","batchSlots":24,"phase":"ready","sequence":1}`, engine.Address))
 	addresses := map[string]string{}
@@ -226,11 +232,14 @@
 // the second that for operators.
 func startDaemon(t *testing.T, environment ...string) (caller, operator target) {
 	t.Helper()
-	return startDaemonWith(t, "", "http", environment...)
+	return startDaemonWith(t, daemonExtras{}, "http", environment...)
 }
 
-// startDaemonWith starts a daemon with additional settings that serves the scheme.
-func startDaemonWith(t *testing.T, extraSettings, scheme string, environment ...string) (caller, operator target) {
+// daemonExtras are lines to add to the settings, and to the pools and the services of the service text.
+type daemonExtras struct{ settings, pools, services string }
+
+// startDaemonWith starts a daemon with the extras that serves the scheme.
+func startDaemonWith(t *testing.T, extras daemonExtras, scheme string, environment ...string) (caller, operator target) {
 	t.Helper()
 	dir, engine := t.TempDir(), freeAddress(t)
 	startProcess(t, "standin", nil, "engine", "-listen", engine)
@@ -240,7 +249,7 @@
 		"keys: {resume: resume-key-0123456, peer: peer-key-012345678, operators: {ops: %s}, accounts: {guides: %s}}\n"+
 		"limits: {memory-mb: %d, body-bytes: 4194304, header-timeout: 30s, idle-timeout: 60s}\n",
 		callerAddress, operatorAddress, freeAddress(t), operatorKey, accountKey, *machineMemoryMB)
-	require.NoError(t, os.WriteFile(file, []byte(settingsText+extraSettings), 0o600))
+	require.NoError(t, os.WriteFile(file, []byte(settingsText+extras.settings), 0o600))
 	p := startProcess(t, "daemon", environment, "-config", file)
 
 	serviceFile := filepath.Join(dir, "service.yaml")
@@ -254,16 +263,16 @@
     limits: {cold-requests: 8, max-requests: 16, memory-tokens: 65536, target-step: 62ms}
     upstreams:
       - {name: praha-1-e1, address: %q}
-services:
+%sservices:
   - name: restart
     delivery: restart
     repeatable: true
     deadline: 60s
     versions:
       - {name: v1, model: m1, pools: [model], share: 100}
-accounts:
+%saccounts:
   - {name: guides, share: 1, max-queued: 100}
-`, engine)
+`, engine, extras.pools, extras.services)
 	require.NoError(t, os.WriteFile(serviceFile, []byte(serviceText), 0o600))
 	eventually(t, "the service text is in force", func() bool {
 		cmd := exec.Command(os.Args[0], "apply", "-wait", "-timeout", "30s", serviceFile)
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -234,6 +234,7 @@
 	call, err := s.admitCall(w, r, account, id)
 	if err == nil {
 		defer s.openRequests.Add(-1)
+		defer call.End()
 		s.recentRequests.begin(id, account, call.Service.Name)
 		err = run(r.Context(), call)
 		s.recentRequests.end(id, err)
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -9,6 +9,7 @@
 	"github.com/rattanscale/rattanscale/internal/changelog"
 	"github.com/rattanscale/rattanscale/internal/entity"
 	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/membudget"
 	"github.com/rattanscale/rattanscale/internal/peer"
 	"github.com/rattanscale/rattanscale/internal/servicetext"
 	"github.com/rattanscale/rattanscale/internal/settings"
@@ -124,4 +125,8 @@
 	return engine.New(engine.Settings{TokenTimeout: s.Limits.TokenTimeout, Credentials: s.UpstreamCredentials}), nil
 }
 
-func providePlain(do.Injector) (upstream.Plain, error) { return plain.New(plain.Settings{}), nil }
+func providePlain(i do.Injector) (upstream.Plain, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	limits := membudget.LimitsFor(s.Limits.MemoryMB, membudget.Descriptors())
+	return plain.New(plain.Settings{ResponseBytes: limits.ResponseBytes}), nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rattanscale/rattanscale/internal/hop"
 	"github.com/rattanscale/rattanscale/internal/membudget"
 	"github.com/rattanscale/rattanscale/internal/promptparts"
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 	"github.com/rattanscale/rattanscale/internal/retry"
 	"github.com/rattanscale/rattanscale/internal/upstreamlimit"
 )
@@ -105,7 +106,7 @@
 	backOffs     *backOffs
 	limits       *upstreamlimit.Table
 	streams      *streamSet
-	bodies       bodyBuffer
+	bodies       *responsebuffer.Buffer
 
 	// drain is nil until StartDrain.
 	drain          atomic.Pointer[drainPeriod]
@@ -122,6 +123,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		Options: o, retryLimiter: retry.NewWindowLimiter(), suspects: NewSuspects(), promptParts: promptparts.NewTable(), backOffs: newBackOffs(), limits: upstreamlimit.NewTable(time.Now()), streams: newStreamSet(),
+		bodies: responsebuffer.New(maxBufferedResponseBytes, sharedBufferBytes),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.notices.received = make(map[catalog.LeaveNotice]receivedNotice)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -18,6 +18,15 @@
 // not read holds no response for longer.
 const responsePieceBytes = 64 << 10
 
+const (
+	// maxBufferedResponseBytes limits the responses that are buffered completely before they
+	// are forwarded. Buffering allows an idempotent request to run again if its response is
+	// truncated.
+	maxBufferedResponseBytes = 1 << 20
+	// sharedBufferBytes bounds what the responses of all requests hold beyond a first part of each.
+	sharedBufferBytes = 4 << 20
+)
+
 // bufferedResponse is a complete response of an upstream.
 type bufferedResponse struct {
 	status int
@@ -115,7 +124,7 @@
 		return nil, result, err
 	}
 	defer response.Close()
-	body, release, err := c.g.bodies.read(response)
+	body, release, err := c.g.bodies.Read(response)
 	c.releaseBodies = append(c.releaseBodies, release)
 	if err != nil {
 		c.recordLostRun(u, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -271,7 +271,7 @@
 // forwardFailure forwards an upstream's error status to the caller, or returns an error
 // if the request may run again or events were already delivered.
 func (c *call) forwardFailure(u *catalog.Upstream, response *hop.Response) (exchangeResult, error) {
-	body, release, err := c.g.bodies.read(response)
+	body, release, err := c.g.bodies.Read(response)
 	c.releaseBodies = append(c.releaseBodies, release)
 	if err != nil {
 		c.recordLostRun(u, err)
--- a/internal/membudget/ledger.go
+++ b/internal/membudget/ledger.go
@@ -19,6 +19,9 @@
 	// clients may make the process hold. The rest is for garbage, so that the collector runs
 	// rarely.
 	clientShare = 0.6
+	// responseShare is the fraction of what clients and the process leave that responses of upstreams
+	// may hold.
+	responseShare = 0.5
 	// minClientBytes lets a small machine hold one body at the limit.
 	minClientBytes = 12 << 20
 
@@ -52,6 +55,8 @@
 	// RequestBytes is the room for the heads and bodies of all requests. Large requests may use
 	// LargeBytes of it.
 	RequestBytes, LargeBytes int64
+	// ResponseBytes is the room for responses of upstreams that are held whole.
+	ResponseBytes int64
 	// Connections is the number of connections.
 	Connections int
 }
@@ -67,6 +72,7 @@
 	}
 	return Limits{
 		GoBytes: goBytes, RequestBytes: requests, LargeBytes: requests / 4 * 3, Connections: int(connections),
+		ResponseBytes: max(int64(responseShare*float64(goBytes-ownBytes-clients)), 0),
 	}
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -138,6 +138,7 @@
 	if err != nil {
 		return idempotency.Response{}, err
 	}
+	call.releaseResponse = response.Release
 	return idempotency.Response{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: response.Body}, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,6 +121,15 @@
 	// attemptID is the request identifier that pools and upstreams see. It differs for
 	// each attempt, because an earlier attempt may still be running there.
 	attemptID string
+	// releaseResponse frees the room of the response; it may be nil.
+	releaseResponse func()
+}
+
+// End frees what the call holds. It is called once the response has been written.
+func (c *Call) End() {
+	if c.releaseResponse != nil {
+		c.releaseResponse()
+	}
 }
 
 // beginAttempt sets the identifier of an attempt. Attempts count from 1.
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -4,36 +4,40 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 	"github.com/rattanscale/rattanscale/internal/responsehead"
 	"github.com/rattanscale/rattanscale/internal/upstream"
 )
 
 const (
 	maxResponseBytes = 16 << 20
-	healthTimeout    = time.Second
+	// maxRefusalBytes is the part of a refusal that is read for its message.
+	maxRefusalBytes = 4 << 10
+	healthTimeout   = time.Second
 )
 
-var errResponseTooLarge = errors.New("response body exceeds 16 MiB")
-
 // Settings configures a Client. Zero values select the defaults.
 type Settings struct {
 	// DialTimeout bounds connecting to a service (default 500 ms).
 	DialTimeout time.Duration
 	// IdlePerHost is the maximum number of idle connections to one service (default 16).
 	IdlePerHost int
+	// ResponseBytes is the room that all responses together may take, at least what one of them
+	// may.
+	ResponseBytes int64
 }
 
 // Client implements upstream.Plain. It is safe for concurrent use. Call Close to
 // release its idle connections.
 type Client struct {
-	pooled *http.Client
+	responses *responsebuffer.Buffer
+	pooled    *http.Client
 	// unpooled opens a new connection for each call with an Idempotency-Key. On a reused
 	// connection net/http retries such a call when the connection breaks, although the
 	// service may already have run it.
@@ -50,8 +54,9 @@
 		settings.IdlePerHost = 16
 	}
 	c := &Client{
-		pooled:   upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
-		unpooled: upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
+		responses: responsebuffer.New(maxResponseBytes, max(settings.ResponseBytes, maxResponseBytes)),
+		pooled:    upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
+		unpooled:  upstream.NewHTTPClient(settings.DialTimeout, settings.IdlePerHost),
 	}
 	c.unpooled.Transport.(*upstream.Transport).DisableKeepAlives = true
 	return c
@@ -73,7 +78,7 @@
 	if err != nil {
 		return upstream.PlainResponse{}, tracker.ClassifyError(err)
 	}
-	return readResponse(response)
+	return c.readResponse(response)
 }
 
 func (c *Client) clientFor(request upstream.PlainRequest) *http.Client {
@@ -100,24 +105,24 @@
 	return r, nil
 }
 
-func readResponse(response *http.Response) (upstream.PlainResponse, error) {
+func (c *Client) readResponse(response *http.Response) (upstream.PlainResponse, error) {
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable {
+		// The status alone is the refusal; an error leaves the message short.
+		message, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
 		return upstream.PlainResponse{}, &upstream.RefusedError{
-			Status: response.StatusCode, Message: strings.TrimSpace(string(body)),
+			Status: response.StatusCode, Message: strings.TrimSpace(string(message)),
 		}
 	}
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
+	body, release, err := c.responses.Read(response.Body)
 	if err == nil {
 		err = responsehead.CheckTrailer(response.Trailer)
 	}
 	if err != nil {
+		release()
 		return upstream.PlainResponse{}, fmt.Errorf("%w: %w", upstream.ErrLost, err)
 	}
-	return upstream.PlainResponse{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return upstream.PlainResponse{Status: response.StatusCode, Header: response.Header, Body: body, Release: release}, nil
 }
 
 // Healthy returns nil if the service responds to GET /healthz with status 200.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -127,6 +127,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Release frees the room of the body once it is no longer needed; it may be nil.
+	Release func()
 }
 
 // Plain is a plain HTTP service.
