gateway, hop: bound what unfinished events and heads hold together

An engine that sent events or heads just short of their limits and left them open took a front end on a machine of 134 MB to 168 MB with 1,200 callers, which is about as many as such a machine accepts: its process would have ended.

Cause: an event may have 64 KB and a head 32 KB on each connection, and nothing bounded how many were held at once.

Change: an event of more than 32 KB takes room from the buffer that long responses share, until the next one is read. A head of more than 8 KB takes room from 2 MB that the connections of a host share, until its response is closed. A response that finds no room is a lost one.

Evidence: TestFrontendOutlivesUnfinishedResponses runs a front end on a machine of 80 MB with 600 callers.

--- a/e2e/hostile/upstream_test.go
+++ b/e2e/hostile/upstream_test.go
@@ -23,6 +23,9 @@
 	// endlessCallers send endlessRounds requests each to an upstream that answers without end.
 	endlessCallers, endlessRounds = 100, 5
 	callerTimeout                 = 5 * time.Second
+	// unfinishedCallers wait at once for responses that stop short of a bound; a machine of
+	// *machineMemoryMB takes about as many connections. Each needs two descriptors.
+	unfinishedCallers, unfinishedDescriptors = 600, 1400
 
 	// endlessConfiguration has, beside what frontendConfiguration has, routes to a service whose
 	// engine answers without end.
@@ -140,6 +143,30 @@
 	}
 }
 
+// Guards against an engine that ends a front end by responses that stop short of a bound and stay
+// open, all at once.
+func TestFrontendOutlivesUnfinishedResponses(t *testing.T) {
+	const properHead = "HTTP/1.1 200 OK\r\n\r\n"
+	descriptors := max(*machineDescriptors, unfinishedDescriptors)
+	for name, response := range map[string]string{
+		"head of long lines": "HTTP/1.1 200 OK\r\n" + strings.Repeat("a: "+strings.Repeat("x", 995)+"\r\n", 31),
+		"head of odd lines":  "HTTP/1.1 200 OK\r\n" + oddFields(250*fieldBytes),
+		"one field line":     "HTTP/1.1 200 OK\r\na: " + strings.Repeat("x", 31<<10),
+		"event":              properHead + "data: " + strings.Repeat("x", 63<<10),
+		"body":               properHead + strings.Repeat("x", 900<<10),
+		"short body":         properHead + strings.Repeat("x", 31<<10),
+	} {
+		for _, route := range []string{"plain", "stream"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				target := startFrontendBeside(t, [2]string{response, ""}, true, descriptors)
+				requireOutlives(t, target, cmp.Or(*clientCount, unfinishedCallers), 1, func(caller, round int) {
+					callEndlessly(target.address, route, fmt.Sprintf("unfinished-%d-%d", caller, round))
+				})
+			})
+		}
+	}
+}
+
 // startEndlessPlain starts a plain service that answers its health properly and calls without end.
 // It returns its address.
 func startEndlessPlain(t *testing.T, response [2]string) string {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -29,21 +31,48 @@
 // eventReader splits a stream into events, so that only complete ones are forwarded.
 type eventReader struct {
 	buffer *bufio.Reader
+	// room is for long events.
+	room *responsebuffer.Buffer
+	// holdsRoom is set while a long event is held.
+	holdsRoom bool
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{buffer: bufio.NewReaderSize(r, 4<<10)}
+func newEventReader(r io.Reader, room *responsebuffer.Buffer) *eventReader {
+	return &eventReader{buffer: bufio.NewReaderSize(r, 4<<10), room: room}
 }
 
-// next returns the next complete event. It returns io.EOF only if the stream ends
-// between events.
+// release frees the room of the latest event, which must not be used afterwards.
+func (e *eventReader) release() {
+	if e.holdsRoom {
+		e.room.Release(maxEventBytes)
+		e.holdsRoom = false
+	}
+}
+
+// extend appends a part of a line to an event. A long event takes the room of the longest.
+func (e *eventReader) extend(raw, part []byte) ([]byte, error) {
+	if len(raw)+len(part) > responsebuffer.UncountedBytes && !e.holdsRoom {
+		if e.holdsRoom = e.room.Reserve(maxEventBytes); !e.holdsRoom {
+			return raw, responsebuffer.ErrFull
+		}
+		raw = append(make([]byte, 0, maxEventBytes+e.buffer.Size()), raw...)
+	}
+	return append(raw, part...), nil
+}
+
+// next returns the next complete event and releases the one before. It returns io.EOF only if the
+// stream ends between events.
 func (e *eventReader) next() (event, error) {
+	e.release()
 	out := event{id: -1}
 	lineStart := 0 // of the current line in out.raw
 	isBlank := true
 	for {
 		line, err := e.buffer.ReadSlice('\n')
-		out.raw = append(out.raw, line...)
+		var roomErr error
+		if out.raw, roomErr = e.extend(out.raw, line); roomErr != nil {
+			return out, roomErr
+		}
 		if errors.Is(err, bufio.ErrBufferFull) && len(out.raw) <= maxEventBytes {
 			continue
 		}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -10,8 +10,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 )
 
+func testRoom() *responsebuffer.Buffer {
+	return responsebuffer.New(maxBufferedResponseBytes, sharedBufferBytes)
+}
+
 // Guards against an event that is forwarded in part, changed or without a bound, whatever
 // an engine sends and however its bytes are divided.
 func FuzzEventReader(f *testing.F) {
@@ -24,7 +30,7 @@
 		if oneByte {
 			source = iotest.OneByteReader(source)
 		}
-		reader := newEventReader(source)
+		reader := newEventReader(source, testRoom())
 		var forwarded []byte
 		for {
 			e, err := reader.next()
@@ -46,7 +52,7 @@
 func TestLineOfTheSizeOfTheBuffer(t *testing.T) {
 	for size := 4<<10 - 8; size < 4<<10+8; size++ {
 		text := "data: " + strings.Repeat("x", size) + "\nid: 7\n\n"
-		e, err := newEventReader(strings.NewReader(text)).next()
+		e, err := newEventReader(strings.NewReader(text), testRoom()).next()
 		require.NoError(t, err)
 		require.Equal(t, text, string(e.raw))
 		require.EqualValues(t, 7, e.id)
@@ -61,7 +67,7 @@
 	for _, blank := range []string{"\n", "\r\n", " \n"} {
 		startedAt := time.Now()
 		for range streams {
-			_, err := newEventReader(strings.NewReader(strings.Repeat(blank, maxEventBytes+1))).next()
+			_, err := newEventReader(strings.NewReader(strings.Repeat(blank, maxEventBytes+1)), testRoom()).next()
 			require.ErrorIs(t, err, errEventTooLong)
 		}
 		require.Less(t, time.Since(startedAt), bound, "%d streams of %q", streams, blank)
@@ -70,7 +76,7 @@
 
 // Guards against blank lines that are lost, or taken for an event, or for its end.
 func TestBlankLinesBelongToTheNextEvent(t *testing.T) {
-	events := newEventReader(strings.NewReader("\n\r\n \n\ndata: 1\n \n\n\nid: 2\ndata: 2\n\n\n"))
+	events := newEventReader(strings.NewReader("\n\r\n \n\ndata: 1\n \n\n\nid: 2\ndata: 2\n\n\n"), testRoom())
 	first, err := events.next()
 	require.NoError(t, err)
 	require.Equal(t, "\n\r\n \n\ndata: 1\n \n\n", string(first.raw))
@@ -80,3 +86,28 @@
 	_, err = events.next()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against long events of many streams that together hold more than their room, and against
+// room that is lost with them.
+func TestLongEventsShareTheirRoom(t *testing.T) {
+	room := testRoom()
+	long := "data: " + strings.Repeat("x", maxEventBytes-100) + "\n\n"
+	var streams []*eventReader
+	for range sharedBufferBytes / maxEventBytes {
+		events := newEventReader(strings.NewReader(long+"data: y\n\n"), room)
+		_, err := events.next()
+		require.NoError(t, err)
+		streams = append(streams, events)
+	}
+	refused := newEventReader(strings.NewReader(long), room)
+	_, err := refused.next()
+	require.ErrorIs(t, err, responsebuffer.ErrFull)
+	refused.release()
+	short := newEventReader(strings.NewReader("data: "+strings.Repeat("x", responsebuffer.UncountedBytes/2)+"\n\n"), room)
+	_, err = short.next()
+	require.NoError(t, err, "short events need no room")
+	_, err = streams[0].next() // frees the room of the event before
+	require.NoError(t, err)
+	_, err = newEventReader(strings.NewReader(long), room).next()
+	require.NoError(t, err)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -288,7 +288,8 @@
 
 // relayEvents forwards the events of a response as they arrive.
 func (c *call) relayEvents(s *stream, u *catalog.Upstream, response *hop.Response) (exchangeResult, error) {
-	events := newEventReader(response)
+	events := newEventReader(response, c.g.bodies)
+	defer events.release()
 	controller := http.NewResponseController(c.w)
 	silence := c.watchSilence(s, u, response)
 	defer silence.stop()
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -21,6 +21,7 @@
 	"github.com/samber/lo"
 	"golang.org/x/sys/unix"
 
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 	"github.com/rattanscale/rattanscale/internal/responsehead"
 )
 
@@ -43,6 +44,8 @@
 	// requests that are skipped per exchange, and maxSkippedBytes the body of each.
 	maxSkippedResponses = 2
 	maxSkippedBytes     = 64 << 10
+	// sharedHeadBytes bounds the memory of the long heads of all responses.
+	sharedHeadBytes = 2 << 20
 	// defaultMaxIdle bounds the idle connections to one upstream if the request sets no bound.
 	defaultMaxIdle = 16
 )
@@ -107,12 +110,17 @@
 	// responseID returns the identifier of the request that a response echoes, "" if none.
 	responseID func(h http.Header) string
 	onOpen     func()
+	// heads is the room for long heads.
+	heads *responsebuffer.Buffer
 }
 
 // NewPool returns an empty pool. responseID returns the identifier of the request that a response
 // echoes, "" if it echoes none. onOpen is called for each new connection and may be nil.
 func NewPool(responseID func(h http.Header) string, onOpen func()) *Pool {
-	p := &Pool{idle: make(map[string][]*conn), responseID: responseID, onOpen: onOpen}
+	p := &Pool{
+		idle: make(map[string][]*conn), responseID: responseID, onOpen: onOpen,
+		heads: responsebuffer.New(responsehead.MaxBytes, sharedHeadBytes),
+	}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return p
 }
@@ -257,7 +265,7 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	checked := responsehead.NewConn(raw)
+	checked := responsehead.NewConn(raw, p.heads)
 	return &conn{Conn: raw, address: address, checked: checked, reader: bufio.NewReaderSize(checked, readBufferBytes), reuseTimeout: maxIdleReuse}, nil
 }
 
@@ -289,6 +297,7 @@
 	if err != nil {
 		stop()
 		_ = c.Conn.Close()
+		c.checked.ReleaseHead()
 		return nil, &Error{Progress: Sent, Cause: err}
 	}
 	c.remember(r.ID)
@@ -457,6 +466,7 @@
 	}
 	c := r.conn
 	r.conn = nil
+	c.checked.ReleaseHead()
 	notCancelled := r.stopWatch()
 	if r.complete && r.reusable && notCancelled && c.reader.Buffered() == 0 {
 		_ = c.SetReadDeadline(time.Time{})
--- a/internal/responsebuffer/buffer.go
+++ b/internal/responsebuffer/buffer.go
@@ -19,9 +19,9 @@
 const (
 	// firstBytes is the first buffer of a response; each further one is twice as long.
 	firstBytes = 1 << 10
-	// uncountedBytes is the part of each response that needs no shared room, so that long responses
+	// UncountedBytes is the part of each response that needs no shared room, so that long responses
 	// of some upstreams do not affect short ones.
-	uncountedBytes = 32 << 10
+	UncountedBytes = 32 << 10
 )
 
 // Buffer gives out the room for responses. It is safe for concurrent use.
@@ -36,8 +36,8 @@
 	return &Buffer{maxBytes: maxBytes, sharedBytes: sharedBytes}
 }
 
-// reserve takes room for n bytes and reports whether there was enough.
-func (b *Buffer) reserve(n int64) bool {
+// Reserve takes room for n bytes and reports whether there was enough. Release gives it back.
+func (b *Buffer) Reserve(n int64) bool {
 	if b.used.Add(n) <= b.sharedBytes {
 		return true
 	}
@@ -45,12 +45,15 @@
 	return false
 }
 
+// Release gives back room that was reserved.
+func (b *Buffer) Release(n int64) { b.used.Add(-n) }
+
 // Read reads a complete body. release must be called once the body is no longer needed, also after
 // an error.
 func (b *Buffer) Read(r io.Reader) (body []byte, release func(), err error) {
 	var reserved int64
 	release = func() {
-		b.used.Add(-reserved)
+		b.Release(reserved)
 		reserved = 0
 	}
 	body = make([]byte, 0, firstBytes)
@@ -69,8 +72,8 @@
 		}
 		// One byte more than the longest response shows that a response is longer.
 		size := min(2*int64(cap(body)), b.maxBytes+1)
-		if growth := size - max(int64(cap(body)), uncountedBytes); growth > 0 {
-			if !b.reserve(growth) {
+		if growth := size - max(int64(cap(body)), UncountedBytes); growth > 0 {
+			if !b.Reserve(growth) {
 				return nil, release, ErrFull
 			}
 			reserved += growth
--- a/internal/responsebuffer/buffer_test.go
+++ b/internal/responsebuffer/buffer_test.go
@@ -27,7 +27,7 @@
 // Guards against responses that are cut, passed on in part, or turned away below the limit.
 func TestResponsesUpToTheLimitAreWhole(t *testing.T) {
 	b := New(testMax, testShared)
-	for _, n := range []int{0, 1, firstBytes, uncountedBytes - 1, uncountedBytes, uncountedBytes + 1, testMax - 1, testMax} {
+	for _, n := range []int{0, 1, firstBytes, UncountedBytes - 1, UncountedBytes, UncountedBytes + 1, testMax - 1, testMax} {
 		want := bytes.Repeat([]byte("x"), n)
 		for name, r := range map[string]io.Reader{
 			"plain": bytes.NewReader(want), "end with the last bytes": iotest.DataErrReader(bytes.NewReader(want)), "halves": iotest.HalfReader(bytes.NewReader(want)),
@@ -71,9 +71,9 @@
 			assert.Error(t, err)
 			assert.LessOrEqual(t, body.read, testMax+1)
 			release()
-			got, release, err := b.Read(bytes.NewReader(make([]byte, uncountedBytes-1)))
+			got, release, err := b.Read(bytes.NewReader(make([]byte, UncountedBytes-1)))
 			assert.NoError(t, err)
-			assert.Len(t, got, uncountedBytes-1)
+			assert.Len(t, got, UncountedBytes-1)
 			release()
 		})
 	}
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -8,18 +8,53 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 )
 
 // Conn is a connection to an upstream that checks the heads of responses as they are read. It
 // returns no byte from the first malformed one on. It is safe for concurrent use.
 type Conn struct {
 	net.Conn
+	// room is for long heads; nil does not bound them together.
+	room    *responsebuffer.Buffer
 	mu      sync.Mutex
 	scanner Scanner
+	// holdsRoom is set while a long head is held.
+	holdsRoom bool
+}
+
+const (
+	// shortHeadBytes is the length up to which a head needs no room that connections share.
+	shortHeadBytes = 8 << 10
+	// longHeadRoom is the room of a longer one: its lines as they are read, and its fields.
+	longHeadRoom = 2 * MaxBytes
+)
+
+// NewConn returns a connection that checks nothing until Begin is called. Connections with the same
+// room share it for long heads, until ReleaseHead is called; room may be nil.
+func NewConn(c net.Conn, room *responsebuffer.Buffer) *Conn { return &Conn{Conn: c, room: room} }
+
+// ReleaseHead frees the room of the head. It is called once the response has been closed.
+func (c *Conn) ReleaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holdsRoom {
+		c.room.Release(longHeadRoom)
+		c.holdsRoom = false
+	}
 }
 
-// NewConn returns a connection that checks nothing until Begin is called.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+// reserveForHead takes room once the head is long. c.mu must be held.
+func (c *Conn) reserveForHead() error {
+	if c.room == nil || c.holdsRoom || c.scanner.HeadBytes() <= shortHeadBytes {
+		return nil
+	}
+	if c.holdsRoom = c.room.Reserve(longHeadRoom); !c.holdsRoom {
+		return responsebuffer.ErrFull
+	}
+	return nil
+}
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
@@ -29,8 +64,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scanner.Begin()
-	_, err := c.scanner.Scan(buffered)
-	return err
+	if _, err := c.scanner.Scan(buffered); err != nil {
+		return err
+	}
+	return c.reserveForHead()
 }
 
 // Read implements net.Conn.
@@ -44,6 +81,9 @@
 	if proper, headErr := c.scanner.Scan(b[:n]); headErr != nil {
 		return proper, headErr
 	}
+	if roomErr := c.reserveForHead(); roomErr != nil {
+		return 0, roomErr
+	}
 	return n, err
 }
 
@@ -68,7 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		return NewConn(c, nil), nil
 	}
 	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -80,7 +120,7 @@
 			_ = c.Close()
 			return nil, err
 		}
-		return NewConn(encrypted), nil
+		return NewConn(encrypted, nil), nil
 	}
 	return &Transport{t}
 }
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -86,6 +86,10 @@
 	s.statesLength, s.statesEncoding = false, false
 }
 
+// HeadBytes returns the length of the head so far, or of the latest one, with the informational
+// ones before it.
+func (s *Scanner) HeadBytes() int { return s.bytes }
+
 // Err returns the error of the first malformed byte, nil without one.
 func (s *Scanner) Err() error { return s.err }
 
