--- a/e2e/hostile/upstream_test.go
+++ b/e2e/hostile/upstream_test.go
@@ -23,6 +23,8 @@
 	// endlessCallers send endlessRounds requests each to an upstream that answers without end.
 	endlessCallers, endlessRounds = 100, 5
 	callerTimeout                 = 5 * time.Second
+	// storeCalls is the number of calls that the store answers without end.
+	storeCalls = 20
 	// unfinishedCallers wait at once for responses that stop short of a bound; a machine of
 	// *machineMemoryMB takes about as many connections. Each needs two descriptors.
 	unfinishedCallers, unfinishedDescriptors = 600, 1400
@@ -206,3 +208,22 @@
 		})
 	}
 }
+
+// Guards against a store that ends a front end by responses without end. The front end goes on with
+// what it knows.
+func TestFrontendOutlivesEndlessResponsesOfTheStore(t *testing.T) {
+	for name, fault := range map[string]platformstandin.StoreFault{
+		"head": platformstandin.StoreEndlessHead, "body": platformstandin.StoreEndlessBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := platformstandin.StartStore()
+			t.Cleanup(store.Close)
+			store.Put("op", "config", frontendConfiguration)
+			target, _ := startFrontendWith(t, store, descriptorLimit())
+			store.SetFault(fault)
+			calls := store.CallCount()
+			eventually(t, "the front end calls the store", func() bool { return store.CallCount() >= calls+storeCalls })
+			requireOutlives(t, target, endlessCallers, 1, func(int, int) { target.ordinary() })
+		})
+	}
+}
