ctl, callerclient: reject malformed response heads, bound bodies

rattanctl showed an operator a response with status 000, or with a blank in the name of a field, as the state of a host, and read bodies without a bound.

Cause: as in the other clients, heads were those of the library; a status below 400 counted as success, so 000 did. Bodies were read until their end.

Change: rattanctl uses responsehead.Transport, one for all requests of a command. Bodies that are read whole are bounded: 64 MB of the operator API, 32 MB in callerclient, where a host passes on at most 16 MiB.

Evidence: on the code before, 14 of 42 cases of TestBrokenResponseIsAnError failed, status 000 among them; now all pass. TestResponseWithoutEndIsAnError passes now; it was not run on the code before, where it would fill the memory.

--- a/internal/callerclient/client.go
+++ b/internal/callerclient/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rattanscale/rattanscale/internal/callerapi"
 	"github.com/rattanscale/rattanscale/internal/failure"
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
 	"github.com/rattanscale/rattanscale/internal/stream"
 )
 
@@ -92,7 +93,20 @@
 		return hostList, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return hostList, json.NewDecoder(response.Body).Decode(&hostList)
+	data, err := readBody(response)
+	if err != nil {
+		return hostList, err
+	}
+	return hostList, json.Unmarshal(data, &hostList)
+}
+
+// maxResponseBytes bounds a response that is read whole; hosts pass on at most 16 MiB.
+const maxResponseBytes = 32 << 20
+
+func readBody(response *http.Response) ([]byte, error) {
+	data, release, err := responsebuffer.New(maxResponseBytes, maxResponseBytes).Read(response.Body)
+	defer release()
+	return data, err
 }
 
 func (c *Client) send(ctx context.Context, method, address, path string, header http.Header, body []byte) (*http.Response, error) {
@@ -220,7 +234,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := readBody(response)
 	return &CallResult{
 		RequestID: response.Header.Get("X-Request-Id"), Status: response.StatusCode, Body: data,
 		Replayed: response.Header.Get("Idempotency-Replayed") == "true",
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -19,6 +19,8 @@
 
 	"github.com/rattanscale/rattanscale/internal/failure"
 	"github.com/rattanscale/rattanscale/internal/operatorapi"
+	"github.com/rattanscale/rattanscale/internal/responsebuffer"
+	"github.com/rattanscale/rattanscale/internal/responsehead"
 )
 
 const (
@@ -26,6 +28,9 @@
 	requestTimeout = 10 * time.Second
 	// outcomePollInterval is the time between requests for the outcome of a change.
 	outcomePollInterval = 200 * time.Millisecond
+	// maxResponseBytes bounds a response of the operator API. The longest ones hold a service text
+	// and the state of all hosts.
+	maxResponseBytes = 64 << 20
 )
 
 // client holds the flags of all commands that send requests to a host.
@@ -38,6 +43,8 @@
 	expectedRevision uint64
 	waitForOutcome   bool
 	waitTimeout      time.Duration
+	// connections is nil until the first request.
+	connections http.RoundTripper
 }
 
 func (c *client) registerReadFlags(f *flag.FlagSet) {
@@ -62,9 +69,21 @@
 	return scheme + "://" + c.address + path
 }
 
+// transport returns the transport of all requests of the command.
 func (c *client) transport() (http.RoundTripper, error) {
+	if c.connections == nil {
+		settings, err := c.transportSettings()
+		if err != nil {
+			return nil, err
+		}
+		c.connections = responsehead.NewTransport(settings)
+	}
+	return c.connections, nil
+}
+
+func (c *client) transportSettings() (*http.Transport, error) {
 	if c.caFile == "" {
-		return http.DefaultTransport, nil
+		return &http.Transport{Proxy: http.ProxyFromEnvironment}, nil
 	}
 	pem, err := os.ReadFile(c.caFile)
 	if err != nil {
@@ -129,13 +148,19 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := readBody(response)
 	if err != nil {
 		return nil, err
 	}
 	return data, json.Unmarshal(data, out)
 }
 
+func readBody(response *http.Response) ([]byte, error) {
+	data, release, err := responsebuffer.New(maxResponseBytes, maxResponseBytes).Read(response.Body)
+	defer release()
+	return data, err
+}
+
 // submitChange sends a change and prints its identifier and outcome. With -wait it first
 // waits for the outcome.
 func (c *client) submitChange(ctx context.Context, method, path, contentType string, body []byte) subcommands.ExitStatus {
@@ -149,8 +174,12 @@
 		return c.reportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	data, err := readBody(response)
+	if err != nil {
+		return c.reportError(err)
+	}
 	var result operatorapi.ChangeResult
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
+	if err := json.Unmarshal(data, &result); err != nil {
 		return c.reportError(err)
 	}
 	if c.waitForOutcome {
