responsehead: one server for tests that send raw bytes, clearer errors

Three tests had a server of their own. The error about a trailer now wraps ErrMalformed as the others do, and the errors no longer speak of an upstream where the store or a host has answered.

--- a/internal/responsehead/headtest/headtest.go
+++ b/internal/responsehead/headtest/headtest.go
@@ -1,12 +1,56 @@
-// Package headtest has responses with proper and with malformed heads, for tests of what reads
-// responses.
+// Package headtest has responses with proper and with malformed heads, and a server that sends such
+// bytes, for tests of what reads responses.
 package headtest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
 )
 
+// Serve starts a server that sends the first bytes to each request, and after them the others again
+// and again until the connection is closed; "" sends nothing more and reads the next request. It
+// returns the address.
+func Serve(t testing.TB, first, endless string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, first, endless)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serve(c net.Conn, first, endless string) {
+	defer func() { _ = c.Close() }()
+	for reader := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		for _, err = io.WriteString(c, first); err == nil && endless != ""; {
+			_, err = io.WriteString(c, endless)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 const note = "X-Note: full text\r\n"
 
 func whole(fields, body string) string {
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -17,16 +17,16 @@
 	MaxLines = 256
 )
 
-// ErrMalformed is wrapped by all errors of this package.
-var ErrMalformed = errors.New("the upstream sent a malformed response head; the attempt counts as failed")
+// ErrMalformed is wrapped by the errors about malformed bytes.
+var ErrMalformed = errors.New("malformed response; the attempt counts as failed")
 
 var (
-	errTooLong    = fmt.Errorf("%w: more than %d bytes or %d lines", ErrMalformed, MaxBytes, MaxLines)
+	errTooLong    = fmt.Errorf("%w: its head has more than %d bytes or %d lines", ErrMalformed, MaxBytes, MaxLines)
 	errStatusLine = fmt.Errorf("%w: the status line is not that of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599 other than 101", ErrMalformed)
-	errFieldName  = fmt.Errorf("%w: a line has no field name before a colon, or one with a blank or a byte that names cannot have", ErrMalformed)
+	errFieldName  = fmt.Errorf("%w: a line of its head has no field name before a colon, or one with a blank or a byte that names cannot have", ErrMalformed)
 	errFieldValue = fmt.Errorf("%w: a field value or the reason holds a control byte", ErrMalformed)
-	errTrailer    = errors.New("the upstream sent a malformed trailer; the body may not be complete")
-	errFraming    = fmt.Errorf("%w: it states a length or an encoding that this kind of response cannot have", ErrMalformed)
+	errTrailer    = fmt.Errorf("%w: what follows its body is no trailer, so the body may not be complete", ErrMalformed)
+	errFraming    = fmt.Errorf("%w: its head states a length or an encoding that this kind of response cannot have", ErrMalformed)
 )
 
 // state is the part of a head to which the next byte belongs.
@@ -180,7 +180,8 @@
 	case at > statusAt:
 		matches = '0' <= c && c <= '9'
 	}
-	if !matches || string(s.start[min(at, statusAt):]) == switchingProtocols {
+	complete := len(s.start) == len(statusForm)
+	if !matches || complete && string(s.start[statusAt:]) == switchingProtocols {
 		return errStatusLine
 	}
 	return nil
