gateway: read an event in buffers that double

With 600 callers at once whose engine had sent 31 KB of an event, its process would have ended there, and their requests with it.

Cause: append grows a slice of this size by a quarter, so that reading 32 KB of one event in parts of 4 KB left 126 KB behind, and 159 KB in short lines. Beside other load the collector does not keep up with 600 of them.

Change: the buffer of an event doubles up to 32 KB, from where the event takes shared room as before. What an event may hold does not change.

Evidence: TestEventsAreReadInFewBuffers allows three times the length; on the code before 5 of 6 cases failed, now all pass.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -49,15 +49,22 @@
 	}
 }
 
-// extend appends a part of a line to an event. A long event takes the room of the longest.
+// extend appends a part of a line to an event. An event longer than UncountedBytes takes the room
+// of the longest. The buffer doubles: append grows it in so many steps that streams which are read at
+// once leave more behind than the collector keeps up with.
 func (e *eventReader) extend(raw, part []byte) ([]byte, error) {
-	if len(raw)+len(part) > responsebuffer.UncountedBytes && !e.holdsRoom {
+	length := len(raw) + len(part)
+	if length <= cap(raw) {
+		return append(raw, part...), nil
+	}
+	size := min(max(2*cap(raw), length), responsebuffer.UncountedBytes)
+	if length > responsebuffer.UncountedBytes {
 		if e.holdsRoom = e.room.Reserve(maxEventBytes); !e.holdsRoom {
 			return raw, responsebuffer.ErrFull
 		}
-		raw = append(make([]byte, 0, maxEventBytes+e.buffer.Size()), raw...)
+		size = maxEventBytes + e.buffer.Size() // also for the part that shows that it is too long
 	}
-	return append(raw, part...), nil
+	return append(append(make([]byte, 0, size), raw...), part...), nil
 }
 
 // next returns the next complete event and releases the one before. It returns io.EOF only if the
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"errors"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanscale/rattanscale/internal/responsebuffer"
@@ -111,3 +113,23 @@
 	_, err = newEventReader(strings.NewReader(long), room).next()
 	require.NoError(t, err)
 }
+
+// Guards against events whose reading allocates many times their length. The collector lags behind
+// when many of them are read at once.
+func TestEventsAreReadInFewBuffers(t *testing.T) {
+	const repeats, maxCopies = 20, 3
+	for _, size := range []int{8 << 10, responsebuffer.UncountedBytes - 1, maxEventBytes - 1} {
+		for name, text := range map[string]string{"one line": strings.Repeat("x", size), "many lines": strings.Repeat(":\n", size/2)} {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range repeats {
+				events := newEventReader(strings.NewReader(text), testRoom())
+				_, err := events.next()
+				require.Error(t, err, "the event is not complete")
+				events.release()
+			}
+			runtime.ReadMemStats(&after)
+			assert.LessOrEqual(t, int(after.TotalAlloc-before.TotalAlloc)/repeats, maxCopies*size, "%d bytes in %s", size, name)
+		}
+	}
+}
