responsehead: reject spare responses on connections in use again

Callers of the transport (the daemon's upstreams, the store, the API for duties, the host list and rattanctl) could still get status 000, or a head with a blank in a name: an upstream that sends a second response right behind its first had it taken for the answer to the next request on the connection. A proper second response too counted as that answer, for a write to the store among others.

Cause: the library reads a connection in blocks. What follows the first response is in its buffer, read while no head was expected, and so unchecked. The library closes such a connection, unless the next request takes it before.

Change: each request knows whether a whole head has been read and checked since it got its connection. A response without one is an error, and its connection is closed. The front end's connections to engines look into their buffer themselves and were not affected.

--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanscale/rattanscale/internal/responsebuffer"
@@ -22,6 +24,9 @@
 	scanner Scanner
 	// holdsRoom is set while a long head is held.
 	holdsRoom bool
+	// headComplete is set once the whole head that Begin expects has been read and checked. Each call
+	// of Begin has one of its own, since the connection may be in use again when it is looked at.
+	headComplete *atomic.Bool
 }
 
 const (
@@ -64,10 +69,31 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scanner.Begin()
-	if _, err := c.scanner.Scan(buffered); err != nil {
-		return err
+	c.headComplete = new(atomic.Bool)
+	_, err := c.scan(buffered)
+	return err
+}
+
+// scan checks bytes and returns the number of those that may be passed on. c.mu must be held.
+func (c *Conn) scan(b []byte) (int, error) {
+	if proper, err := c.scanner.Scan(b); err != nil {
+		return proper, err
+	}
+	if err := c.reserveForHead(); err != nil {
+		return 0, err
+	}
+	if c.headComplete != nil && !c.scanner.Active() {
+		c.headComplete.Store(true)
 	}
-	return c.reserveForHead()
+	return len(b), nil
+}
+
+// beginUnread is Begin with nothing read. It returns headComplete.
+func (c *Conn) beginUnread() *atomic.Bool {
+	_ = c.Begin(nil) // a malformed head before shows in the next read
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headComplete
 }
 
 // Read implements net.Conn.
@@ -78,11 +104,8 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if proper, headErr := c.scanner.Scan(b[:n]); headErr != nil {
-		return proper, headErr
-	}
-	if roomErr := c.reserveForHead(); roomErr != nil {
-		return 0, roomErr
+	if checked, scanErr := c.scan(b[:n]); scanErr != nil {
+		return checked, scanErr
 	}
 	return n, err
 }
@@ -147,15 +170,28 @@
 	return encrypted, encrypted.HandshakeContext(ctx)
 }
 
+// errSpare reports bytes that came before their request, or after the response to an earlier one.
+// They were read while no head was expected, so nothing has checked them.
+var errSpare = fmt.Errorf("%w: it was sent before the request, or is a second one to an earlier request", ErrMalformed)
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used *Conn
+	var headComplete *atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		// The connection is given to this request alone, and nothing of its response has been read.
+		// The connection is given to this request alone. The library may have buffered bytes of it that
+		// are no part of the response.
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*Conn); ok {
-				_ = c.Begin(nil) // a malformed head before shows in the next read
+				used, headComplete = c, c.beginUnread()
 			}
 		},
 	})
-	return t.Transport.RoundTrip(r.WithContext(ctx))
+	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err == nil && used != nil && !headComplete.Load() {
+		_ = used.Close()
+		_ = response.Body.Close()
+		return nil, errSpare
+	}
+	return response, err
 }
--- a/internal/responsehead/conn_test.go
+++ b/internal/responsehead/conn_test.go
@@ -118,3 +118,33 @@
 	require.NoError(t, err)
 	require.Equal(t, properBody, string(body))
 }
+
+// Guards against a second response to a request that counts as the one to the next request on the
+// connection, without a check of its head.
+func TestSpareResponsesAreNoAnswers(t *testing.T) {
+	const requests = 10_000
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for name, spare := range map[string]string{
+		"malformed": "HTTP/1.1 000 OK\r\nX Note: 1\r\nContent-Length: 0\r\n\r\n",
+		"proper":    "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := headtest.Serve(t, answer+spare, "")
+			client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{}), Timeout: 10 * time.Second}
+			answers := 0
+			for range requests {
+				response, err := client.Get("http://" + address)
+				if err != nil {
+					continue // the spare response came first
+				}
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				require.Equal(t, "ok", string(body))
+				answers++
+			}
+			require.Greater(t, answers, requests/2)
+		})
+	}
+}
