--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,8 @@
 	backOffs     *backOffs
 	limits       *upstreamlimit.Table
 	streams      *streamSet
-	bodies       *responsebuffer.Buffer
+	// bodies is the room for responses that are held whole and for long events.
+	bodies *responsebuffer.Buffer
 
 	// drain is nil until StartDrain.
 	drain          atomic.Pointer[drainPeriod]
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -128,7 +128,7 @@
 type conn struct {
 	net.Conn
 	address string
-	// checked reads from Conn.
+	// checked reads from Conn, below reader, and checks the heads of responses.
 	checked      *responsehead.Conn
 	reader       *bufio.Reader
 	lastUsed     time.Time
