--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -73,7 +73,8 @@
 	e.release()
 	out := event{id: -1}
 	lineStart := 0 // of the current line in out.raw
-	isBlank := true // all lines so far; such an event is not complete, and no partial one at the end
+	// isBlank is set while all lines are blank: no event ends there, and none is cut off.
+	isBlank := true
 	for {
 		line, err := e.buffer.ReadSlice('\n')
 		var roomErr error
