responsehead: find spare responses by their first byte

Cause: it looked for a checked head when the request was done. By then the library may have gone on to read the real response, whose head then stood for the spare one.

Change: the library tells the request of the first byte of its response before it reads any more. If nothing had been read since the request got its connection, that byte came before.

The test is as strict; it no longer prints the library's line for each closed connection.

--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -24,9 +24,6 @@
 	scanner Scanner
 	// holdsRoom is set while a long head is held.
 	holdsRoom bool
-	// headComplete is set once the whole head that Begin expects has been read and checked. Each call
-	// of Begin has one of its own, since the connection may be in use again when it is looked at.
-	headComplete *atomic.Bool
 }
 
 const (
@@ -69,7 +66,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scanner.Begin()
-	c.headComplete = new(atomic.Bool)
 	_, err := c.scan(buffered)
 	return err
 }
@@ -82,20 +78,9 @@
 	if err := c.reserveForHead(); err != nil {
 		return 0, err
 	}
-	if c.headComplete != nil && !c.scanner.Active() {
-		c.headComplete.Store(true)
-	}
 	return len(b), nil
 }
 
-// beginUnread is Begin with nothing read. It returns headComplete.
-func (c *Conn) beginUnread() *atomic.Bool {
-	_ = c.Begin(nil) // a malformed head before shows in the next read
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.headComplete
-}
-
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	if err := c.headError(); err != nil {
@@ -110,6 +95,13 @@
 	return n, err
 }
 
+// headBegun reports whether a byte has been read since Begin.
+func (c *Conn) headBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scanner.HeadBytes() > 0
+}
+
 func (c *Conn) headError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -176,20 +168,27 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var used *Conn
-	var headComplete *atomic.Bool
+	var used atomic.Pointer[Conn]
+	var isSpare atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		// The connection is given to this request alone. The library may have buffered bytes of it that
-		// are no part of the response.
+		// The connection is given to this request alone. The library may have bytes of it in its
+		// buffer that are no part of the response.
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*Conn); ok {
-				used, headComplete = c, c.beginUnread()
+				used.Store(c)
+				_ = c.Begin(nil) // a malformed head before shows in the next read
+			}
+		},
+		// Only what reads the connection calls this, before it reads more.
+		GotFirstResponseByte: func() {
+			if c := used.Load(); c != nil && !c.headBegun() {
+				isSpare.Store(true)
 			}
 		},
 	})
 	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
-	if err == nil && used != nil && !headComplete.Load() {
-		_ = used.Close()
+	if err == nil && isSpare.Load() {
+		_ = used.Load().Close()
 		_ = response.Body.Close()
 		return nil, errSpare
 	}
--- a/internal/responsehead/conn_test.go
+++ b/internal/responsehead/conn_test.go
@@ -6,10 +6,12 @@
 	"crypto/tls"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -122,6 +124,8 @@
 // Guards against a second response to a request that counts as the one to the next request on the
 // connection, without a check of its head.
 func TestSpareResponsesAreNoAnswers(t *testing.T) {
+	log.SetOutput(io.Discard) // the library writes a line for each connection that it closes
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	const requests = 10_000
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	for name, spare := range map[string]string{
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -86,9 +86,6 @@
 	s.statesLength, s.statesEncoding = false, false
 }
 
-// Active reports whether the next byte belongs to a head.
-func (s *Scanner) Active() bool { return s.active }
-
 // HeadBytes returns the length of the head so far, or of the latest one, with the informational
 // ones before it.
 func (s *Scanner) HeadBytes() int { return s.bytes }
