--- a/internal/responsehead/end.go
+++ b/internal/responsehead/end.go
@@ -18,8 +18,8 @@
 )
 
 var (
-	errNotWritten = errors.New("the request was not written whole before upstream ended its response, which may not be complete")
-	errStalled    = fmt.Errorf("upstream ended its response but does not read the request; the response may not be complete: %w", os.ErrDeadlineExceeded)
+	errNotWritten = errors.New("upstream ended its response before the request was written whole; the attempt counts as failed")
+	errStalled    = fmt.Errorf("upstream ended its response and does not read its request; the attempt counts as failed: %w", os.ErrDeadlineExceeded)
 )
 
 // requestWrite is the state of the request that is written to a connection. The kernel reports a
--- a/internal/responsehead/end_test.go
+++ b/internal/responsehead/end_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"syscall"
 	"testing"
 	"time"
@@ -26,10 +27,10 @@
 )
 
 // upload sends a long request and returns the body of the response.
-func upload(t *testing.T, client *http.Client, address string) ([]byte, error) {
+func upload(t *testing.T, client *http.Client, baseURL string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, bytes.NewReader(make([]byte, headtest.UploadBytes)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, baseURL, bytes.NewReader(make([]byte, headtest.UploadBytes)))
 	require.NoError(t, err)
 	response, err := client.Do(r)
 	if err == nil {
@@ -43,21 +44,38 @@
 	return nil, err
 }
 
+// startEarly starts a server that answers before it has read the request. It returns its base URL and a
+// client for it.
+func startEarly(t *testing.T, encrypted bool, response string, end func(net.Conn)) (string, *http.Client) {
+	transport := &http.Transport{}
+	if !encrypted {
+		address := headtest.ServeEarly(t, response, end)
+		return "http://" + address, &http.Client{Transport: responsehead.NewTransport(transport)}
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.StartTLS() // only for its certificate
+	t.Cleanup(server.Close)
+	transport.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+	address := headtest.ServeEarlyTLS(t, server.TLS, response, end)
+	return "https://" + address, &http.Client{Transport: responsehead.NewTransport(transport)}
+}
+
 // Guards against a part of a response without a length that looks complete, because the write of the
 // request has taken the error of the connection.
 func TestBrokenEndIsNoEndOfABody(t *testing.T) {
 	for name, end := range headtest.BrokenEndings() {
-		t.Run(name, func(t *testing.T) {
-			address := headtest.ServeEarly(t, unframed+"a part of the body", end)
-			client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{})}
-			complete := 0
-			for range uploads {
-				if _, err := upload(t, client, address); err == nil {
-					complete++
+		for _, encrypted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, TLS %t", name, encrypted), func(t *testing.T) {
+				baseURL, client := startEarly(t, encrypted, unframed+"a part of the body", end)
+				complete := 0
+				for range uploads {
+					if _, err := upload(t, client, baseURL); err == nil {
+						complete++
+					}
 				}
-			}
-			require.Zero(t, complete, "of %d", uploads)
-		})
+				require.Zero(t, complete, "of %d", uploads)
+			})
+		}
 	}
 }
 
@@ -93,27 +111,28 @@
 func TestEarlyResponseThatEndsInOrderIsComplete(t *testing.T) {
 	framed := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(properBody))
 	for name, head := range map[string]string{"without a length": unframed, "with a length": framed} {
-		t.Run(name, func(t *testing.T) {
-			address := headtest.ServeEarly(t, head+properBody, headtest.EndInOrder)
-			client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{})}
-			for range uploads {
-				body, err := upload(t, client, address)
-				require.NoError(t, err)
-				require.Equal(t, properBody, string(body))
-			}
-		})
+		for _, encrypted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, TLS %t", name, encrypted), func(t *testing.T) {
+				baseURL, client := startEarly(t, encrypted, head+properBody, headtest.EndInOrder)
+				for range uploads {
+					body, err := upload(t, client, baseURL)
+					require.NoError(t, err)
+					require.Equal(t, properBody, string(body))
+				}
+			})
+		}
 	}
 }
 
 // Guards against an early response that is cut because the upstream reads the request only later.
 func TestRequestMayBeReadAfterTheEndOfItsResponse(t *testing.T) {
 	t.Parallel()
-	address := headtest.ServeEarly(t, unframed+properBody, func(c net.Conn) {
+	baseURL, client := startEarly(t, false, unframed+properBody, func(c net.Conn) {
 		_ = c.(*net.TCPConn).CloseWrite()
 		time.Sleep(time.Second)
 		headtest.EndInOrder(c)
 	})
-	body, err := upload(t, &http.Client{Transport: responsehead.NewTransport(&http.Transport{})}, address)
+	body, err := upload(t, client, baseURL)
 	require.NoError(t, err)
 	require.Equal(t, properBody, string(body))
 }
@@ -122,10 +141,10 @@
 // and reads no more of the request.
 func TestEndWithoutReadingTheRequestIsBounded(t *testing.T) {
 	t.Parallel()
-	address := headtest.ServeEarly(t, unframed+"a body", func(c net.Conn) {
+	baseURL, client := startEarly(t, false, unframed+"a body", func(c net.Conn) {
 		_ = c.(*net.TCPConn).CloseWrite()
 		<-t.Context().Done()
 	})
-	_, err := upload(t, &http.Client{Transport: responsehead.NewTransport(&http.Transport{})}, address)
+	_, err := upload(t, client, baseURL)
 	require.Error(t, err)
 }
--- a/internal/responsehead/headtest/ending.go
+++ b/internal/responsehead/headtest/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -29,6 +30,9 @@
 const resetDelay = 20 * time.Millisecond
 
 func reset(c net.Conn) {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -55,6 +59,20 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	serveEarly(t, listener, response, end)
+	return listener.Addr().String()
+}
+
+// ServeEarlyTLS is ServeEarly over TLS.
+func ServeEarlyTLS(t testing.TB, settings *tls.Config, response string, end func(net.Conn)) string {
+	t.Helper()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", settings)
+	require.NoError(t, err)
+	serveEarly(t, listener, response, end)
+	return listener.Addr().String()
+}
+
+func serveEarly(t testing.TB, listener net.Listener, response string, end func(net.Conn)) {
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -73,5 +91,4 @@
 			}()
 		}
 	}()
-	return listener.Addr().String()
 }
