--- a/internal/responsehead/end_test.go
+++ b/internal/responsehead/end_test.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// Guards against the same without a race: the write has taken the error before anything is read, and
-// it was the last one, after the library has reported the end of the request.
+// Guards against the same without a race: the write has taken the error before anything is read. It may
+// be one after the library has reported the end of the request.
 func TestResetThatAWriteHasTakenIsNoEnd(t *testing.T) {
 	for name, endRequest := range map[string]func(*responsehead.Conn){
 		"before the end of the request": func(*responsehead.Conn) {},
--- a/internal/responsehead/headtest/ending.go
+++ b/internal/responsehead/headtest/ending.go
@@ -73,22 +73,12 @@
 }
 
 func serveEarly(t testing.TB, listener net.Listener, response string, end func(net.Conn)) {
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				if _, err := io.WriteString(c, response); err == nil {
-					end(c)
-				}
-			}()
+	handleEach(t, listener, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
-	}()
+		if _, err := io.WriteString(c, response); err == nil {
+			end(c)
+		}
+	})
 }
--- a/internal/responsehead/headtest/headtest.go
+++ b/internal/responsehead/headtest/headtest.go
@@ -21,6 +21,12 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	handleEach(t, listener, func(c net.Conn) { serve(c, first, endless) })
+	return listener.Addr().String()
+}
+
+// handleEach handles each connection and closes it, until the test ends.
+func handleEach(t testing.TB, listener net.Listener, handle func(net.Conn)) {
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -28,14 +34,15 @@
 			if err != nil {
 				return
 			}
-			go serve(c, first, endless)
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c)
+			}()
 		}
 	}()
-	return listener.Addr().String()
 }
 
 func serve(c net.Conn, first, endless string) {
-	defer func() { _ = c.Close() }()
 	for reader := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
