responsehead, hop: guard slow readers of a request; say what the write's hooks rest on

An upstream that has ended its response may read the request for longer than a stall, as long as it reads on.

The comment on WroteRequest said that it may be called for the connection before. It is not: the library waits for the end of its writes before it retries.

--- a/internal/hop/end_test.go
+++ b/internal/hop/end_test.go
@@ -54,3 +54,22 @@
 	require.NoError(t, err)
 	require.Equal(t, "busy", string(body))
 }
+
+// Guards against an early response that is cut because its upstream reads the request slowly: it may
+// take longer than a stall as a whole, as long as it reads on.
+func TestEarlyResponseOfASlowReaderIsWhole(t *testing.T) {
+	t.Parallel()
+	response := uploadEarly(t, func(c net.Conn) {
+		_ = c.(*net.TCPConn).CloseWrite()
+		for {
+			if _, err := io.CopyN(io.Discard, c, headtest.UploadBytes/50); err != nil {
+				break
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	require.NoError(t, err)
+	require.Equal(t, "busy", string(body))
+}
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -97,6 +97,7 @@
 	if scanErr != nil {
 		return checked, scanErr
 	}
+	// Only here does the end of the connection become the end of a body.
 	if errors.Is(err, io.EOF) && endsWithConnection {
 		if endErr := c.request.checkEnd(); endErr != nil {
 			return n, endErr
@@ -198,8 +199,8 @@
 				_ = c.Begin(nil) // a malformed head before shows in the next read
 			}
 		},
-		// After a retry this may also be called for the connection before. The end of the response
-		// then waits no longer, or counts as broken for the error of that connection.
+		// The library ends its writes to a connection before it retries on another one, so this is
+		// about the connection in use.
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if c := used.Load(); c != nil {
 				c.EndRequest(info.Err)
--- a/internal/responsehead/end.go
+++ b/internal/responsehead/end.go
@@ -13,7 +13,7 @@
 	// maxWriteStall is the time after which a response that has ended is not complete, if nothing
 	// more of its request could be written.
 	maxWriteStall = 3 * time.Second
-	// writePieceBytes is what is written at once, so that a long request shows its progress.
+	// writePieceBytes is the most that one call writes, so that the progress of a long request shows.
 	writePieceBytes = 256 << 10
 )
 
@@ -32,8 +32,8 @@
 	mu sync.Mutex
 	// pending is set from BeginRequest to EndRequest.
 	pending bool
-	// writing counts the writes in progress. The library may write the last bytes after it has
-	// reported the end of the request.
+	// writing counts the writes in progress. They count beside pending, since the library reports the
+	// end of the request before it flushes the last bytes.
 	writing int
 	// err is the first error of writing the request.
 	err error
@@ -41,7 +41,8 @@
 
 func newRequestWrite() requestWrite { return requestWrite{changed: make(chan struct{}, 1)} }
 
-// update changes the state. err, if not nil, is an error of writing the request.
+// update changes the state and wakes a read that waits for it. err, if not nil, is an error of writing
+// the request.
 func (w *requestWrite) update(err error, change func()) {
 	w.mu.Lock()
 	change()
